--- a/bramblemux/adapter.py
+++ b/larchhaven/adapter.py
@@ -1,4 +1,4 @@
-"""Host one Balancer per instance on the text wire: ``python -m bramblemux.adapter``."""
+"""Host one Balancer per instance on the text wire: ``python -m larchhaven.adapter``."""
 
 from __future__ import annotations
 
@@ -7,9 +7,9 @@
 from collections.abc import Iterable, Iterator
 from typing import TextIO
 
-from bramblemux import wire
-from bramblemux.choice import Balancer
-from bramblemux.interface import Event
+from larchhaven import wire
+from larchhaven.choice import Balancer
+from larchhaven.interface import Event
 
 
 class Host:
@@ -91,7 +91,7 @@
     def _fault(self, expected: str) -> int:
         shown = self._line if len(self._line) <= 200 else self._line[:200] + "..."
         text = f"batch {self._batch}, line {self._line_no} ({shown}): {expected}"
-        print(f"bramblemux: {text}", file=sys.stderr)
+        print(f"larchhaven: {text}", file=sys.stderr)
         if self._instance is not None:
             self._out.write(f"on_behalf {self._instance}\n")
         self._out.write(f"fault {text}\nnext {self._batch}\n")
--- a/bramblemux/choice.py
+++ b/larchhaven/choice.py
@@ -1,6 +1,6 @@
 """Every decision of a balancer for long-lived connections: least ratio routing.
 
-The interface (settings, events, actions) is declared in ``bramblemux/interface.py``. Each new connection goes
+The interface (settings, events, actions) is declared in ``larchhaven/interface.py``. Each new connection goes
 to the ready server with the lowest last reported load over capacity plus this instance's placements since,
 ties at random, and stays there (Alanyali and Hajek). Times are microseconds, loads are standard cores.
 """
@@ -13,8 +13,8 @@
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
 
-from bramblemux import interface as api
-from bramblemux.interface import Effect, ListKind, Result, Scope, State
+from larchhaven import interface as api
+from larchhaven.interface import Effect, ListKind, Result, Scope, State
 
 # A report shows a server as it was this long before it arrived; own changes since then are added to it.
 # The wire tells no ages; load reporters refresh about once a second, so this is half of that and transport.
--- a/bramblemux/wire.py
+++ b/larchhaven/wire.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import TypeVar
 
-from bramblemux import interface as api
+from larchhaven import interface as api
 
 T = TypeVar("T")
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from bramblemux import interface as api
+from larchhaven import interface as api
 from tests.world import START, arrival, balancer, ended, of, report
 
 
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
-CHOICE = (ROOT / "bramblemux" / "choice.py").read_text().splitlines()
+CHOICE = (ROOT / "larchhaven" / "choice.py").read_text().splitlines()
 
 
 def test_module_is_small_enough_to_read() -> None:
@@ -16,6 +16,6 @@
 
 def test_deploy_file_names_the_one_module_with_decisions() -> None:
     text = (ROOT / "deploy" / "balancer.toml").read_text()
-    assert re.search(r'^policy = \["bramblemux/choice\.py"\]$', text, re.MULTILINE)
+    assert re.search(r'^policy = \["larchhaven/choice\.py"\]$', text, re.MULTILINE)
     imports = [line for line in CHOICE if re.match(r"\s*(from|import) ", line)]
     assert not [line for line in imports if re.search(r"wire|adapter|time|datetime|socket|os\b", line)]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bramblemux import interface as api
-from bramblemux.choice import Balancer
+from larchhaven import interface as api
+from larchhaven.choice import Balancer
 from tests.world import PLAIN, SECOND, START, arrival, balancer, ended, fleet, of
 
 EFFECTS = (
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from bramblemux import interface as api
-from bramblemux import wire
-from bramblemux.adapter import Host
+from larchhaven import interface as api
+from larchhaven import wire
+from larchhaven.adapter import Host
 
 OPTIONS = (
     "contract.answer_slack=8000 contract.ask_within=10000000 contract.cold=9000000 contract.cold_from=0.3 "
@@ -142,7 +142,7 @@
 
 
 def test_adapter_process_answers_and_exits_with_the_input() -> None:
-    command = [sys.executable, "-m", "bramblemux.adapter"]
+    command = [sys.executable, "-m", "larchhaven.adapter"]
     text = OPENING + "clock 2000 2\nyour_turn\n"
     done = subprocess.run(command, input=text, capture_output=True, text=True, timeout=60, check=False)
     assert (done.returncode, done.stdout, done.stderr) == (0, "next 1\nnext 2\n", "")
--- a/tests/world.py
+++ b/tests/world.py
@@ -6,8 +6,8 @@
 from dataclasses import replace
 from typing import TypeVar
 
-from bramblemux import interface as api
-from bramblemux.choice import Balancer
+from larchhaven import interface as api
+from larchhaven.choice import Balancer
 
 A = TypeVar("A")
 SECOND = 1_000_000
