--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -91,7 +91,7 @@
     """A request, and the connection it becomes."""
 
     __slots__ = (
-        "attempts", "cls", "deadline", "done", "flows", "id", "key", "load", "looks", "midflow", "out",
+        "at", "attempts", "cls", "deadline", "done", "flows", "id", "key", "load", "looks", "midflow", "out",
         "ran_at", "ran_on", "server", "tenant", "tried", "turn",
     )  # fmt: skip
 
@@ -112,6 +112,7 @@
         self.tenant = 0
         self.key: int | None = None
         self.midflow = False
+        self.at: str | None = None  # the only server that will do
         self.turn = 0  # counts its waits, so that a stale timer does not end a later one
 
 
@@ -193,6 +194,8 @@
             api.PeerMessage: self._on_peer,
             api.LoadNote: self._on_load_note,
             api.DelayNote: self._on_delay_note,
+            api.Stalled: self._on_stalled,
+            api.Leaving: self._on_leaving,
             api.ClientGone: self._on_client_gone,
             api.Established: self._on_established,
             api.AttemptEnded: self._on_ended,
@@ -219,7 +222,7 @@
         self.mean_load += LEARN * (conn.load - self.mean_load)
         self.probe_credit += self.probes_each
         self.move_credit += self.moves_each
-        if self._holder(conn) is not None:
+        if conn.at is not None or self._holder(conn) is not None:
             self._place(conn)
         elif self._refuses(conn, event.tenant):
             self._give_up(conn)
@@ -233,7 +236,7 @@
         load = self.class_load[cls] if event.load is None else event.load
         conn = Conn(event.request, cls, self.now + event.budget_us, load)
         conn.tenant = event.tenant
-        conn.key, conn.midflow = event.key, event.midflow
+        conn.key, conn.midflow, conn.at = event.key, event.midflow, event.at
         self.conns[conn.id] = conn
         return conn
 
@@ -253,7 +256,7 @@
             return
         aim = limits.classes[conn.cls].aim_us
         server = self._holder(conn)
-        if server is None and self.now >= self.gate_at:
+        if server is None and conn.at is None and self.now >= self.gate_at:
             server = self._choose(conn)
         if server is None:
             wait = max(HOLD_SHARE * aim, self.gate_at - self.now) * (1 + self.rng.random() / 2)
@@ -281,6 +284,9 @@
 
         Any other mid-flow connection is placed like a new one; its client sets up again.
         """
+        if conn.at is not None:
+            pinned = self.fleet.get(conn.at)
+            return None if pinned is None or pinned.state is State.GONE else pinned
         if not conn.midflow or conn.attempts or conn.key is None:
             return None
         server, until = self.holders.get(conn.key, (None, 0))
@@ -402,6 +408,26 @@
                 self.waiting[server.id] = []
                 self.actions.append(api.Probe(server.id))
 
+    def _on_stalled(self, event: api.Stalled) -> None:
+        """A silent connection must not be kept: its client comes again, and goes elsewhere."""
+        conn, server = self.conns.get(event.request), self.fleet.get(event.server)
+        if server is not None:
+            self._eject(server)
+        if conn is not None and conn.flows and not conn.done and conn.out == event.attempt:
+            self._move(conn)
+
+    def _on_leaving(self, event: api.Leaving) -> None:
+        """Move every connection in good time, spread evenly so that the servers left are not flooded."""
+        for conn in list(self.conns.values()):
+            if conn.flows and not conn.done:
+                wait = 0.8 * event.within_us * self.rng.random()
+                self._after(wait, lambda conn=conn: self._move(conn))  # type: ignore[misc]
+
+    def _move(self, conn: Conn) -> None:
+        if conn.flows and not conn.done:
+            self.actions.append(api.Move(conn.id))
+            conn.done = True
+
     def _rest(self, server: Server) -> None:
         server.relief_at = self.now + int(RELIEF_REST * REPORT_LAG_US * (0.5 + self.rng.random()))
 
@@ -424,8 +450,7 @@
                 break
             if self.rng.random() * conn.load < excess:
                 self.move_credit -= 1
-                self.actions.append(api.Move(conn.id))
-                conn.done = True
+                self._move(conn)
             excess -= conn.load
 
     # Timers
--- a/larchhaven/interface.py
+++ b/larchhaven/interface.py
@@ -207,6 +207,7 @@
     retry: bool = False
     midflow: bool = False
     again: bool = False
+    at: str | None = None  # the server that holds it already; no other will do
 
 
 @dataclass(frozen=True, slots=True)
@@ -262,6 +263,23 @@
     delay_us: float
 
 
+@dataclass(frozen=True, slots=True)
+class Stalled:
+    """An open connection has sent nothing back for so long that it should be moved."""
+
+    request: int
+    attempt: int
+    server: str
+    silent_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Leaving:
+    """The instance stops soon; whatever it still holds after this time is lost."""
+
+    within_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class ClientGone:
     """The client left; nothing is owed any more."""
@@ -301,6 +319,8 @@
     | PeerMessage
     | LoadNote
     | DelayNote
+    | Stalled
+    | Leaving
     | ClientGone
     | Established
     | AttemptEnded
--- /dev/null
+++ b/larchhaven/net/broker.py
@@ -0,0 +1,335 @@
+"""Between sockets and decisions: what happens becomes events, one ``handle`` a turn, its actions become work.
+
+Nothing here knows a text protocol: clients, executions, relays, probes, discovery and peers are reached
+through what they can do. The decision module calls a command a request, an execution an attempt and an
+instance a server; this is the one place where its words meet ours.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from larchhaven import interface as api
+from larchhaven.choice import Balancer
+from larchhaven.net.executions import Execution
+from larchhaven.net.loop import Deadline, Loop
+from larchhaven.net.notices import Notices
+from larchhaven.net.relay import Session
+from larchhaven.net.slots import Slots
+
+# A delay note is sent at most this often for each instance.
+NOTE_US = 1_000_000
+# A drained instance is closed to new executions a little before its grace ends: the bytes take time.
+GRACE_MARGIN_US = 150_000
+# The longest wait that is believed of a client.
+WAIT_MOST_US = 3_600_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Wants:
+    """What a service client asks for; the payload is its protocol's own."""
+
+    payload: bytes
+    cls: int
+    wait_us: int | None
+    key: int | None = None
+    group: int | None = None
+    load: float | None = None
+    retry: bool = False
+    again: bool = False
+    midflow: bool = False
+    at: str | None = None
+
+
+class Client(Protocol):
+    """How a service client is answered; each command gets exactly one of these calls."""
+
+    def refuse(self, retry_after_us: int) -> None:
+        """Refuse, with advice when to come again."""
+
+    def fail(self) -> None:
+        """Fail."""
+
+    def serve(self, execution: Execution, token: int) -> Session:
+        """Join the client to the execution."""
+
+
+class Instances(Protocol):
+    """What discovery has told of the instances."""
+
+    def address(self, host: str) -> tuple[str, int] | None:
+        """Where the instance is reached from here."""
+
+    def told_at(self, host: str) -> int | None:
+        """When it was first told that the instance drains or is gone; None while it is ready."""
+
+
+@dataclass(slots=True)
+class Outside:
+    """What the broker's actions reach."""
+
+    instances: Instances
+    begin: Callable[[int, bytes, tuple[str, int], int], Execution]
+    probe: Callable[[str, tuple[str, int]], None]
+    close_idle: Callable[[str], None]
+    watch: Callable[[bool], None]
+    fetch: Callable[[], None]
+    tell: Callable[[int | None, bytes], None]
+
+
+class Command:
+    """A command, and the session it becomes."""
+
+    __slots__ = (
+        "attempt", "begun_at", "client", "execution", "host", "limit", "load", "payload", "session", "until",
+    )  # fmt: skip
+
+    def __init__(self, client: Client, wants: Wants, until: int) -> None:
+        self.client: Client | None = client  # None once it is answered or has left
+        self.payload = wants.payload
+        self.until = until
+        self.limit: Deadline | None = None
+        self.attempt = -1
+        self.host = ""
+        self.begun_at = 0
+        self.execution: Execution | None = None
+        self.session: Session | None = None
+
+
+class Broker:
+    """Holds the commands and runs the decision module."""
+
+    def __init__(self, loop: Loop, notices: Notices, settings: api.Settings, seed: int) -> None:
+        self._loop = loop
+        self._notices = notices
+        self._settings = settings
+        self._balancer = Balancer(settings, seed)
+        self._events: list[api.Event] = []
+        self._commands: Slots[Command] = Slots()
+        self._notes: dict[str, tuple[int, bool]] = {}  # when the last was sent, and if it was slow
+        aims = [c.message_aim_us or c.aim_us for c in settings.classes]
+        self._slow_us = min(aims) / 3
+        self.outside: Outside
+        self.idle: Callable[[], None] = lambda: None
+        self._handlers: dict[type, Callable[[Any], None]] = {
+            api.Send: self._do_send,
+            api.Refuse: self._do_refuse,
+            api.Fail: self._do_fail,
+            api.Cancel: self._do_cancel,
+            api.Move: self._do_move,
+            api.Probe: self._do_probe,
+            api.Tell: lambda a: self.outside.tell(a.peer, a.data),
+            api.SetTimer: self._do_timer,
+            api.Watch: lambda a: self.outside.watch(a.on),
+            api.FetchList: lambda a: self.outside.fetch(),
+            api.CloseIdle: lambda a: self.outside.close_idle(a.server),
+            api.Log: lambda a: self._notices.tell("decisions", a.text),
+        }
+
+    def held(self) -> int:
+        """Count the commands held, served ones included."""
+        return len(self._commands)
+
+    # Events
+
+    def queue(self, event: api.Event) -> None:
+        """Have the decision module hear of this at the end of the turn."""
+        self._events.append(event)
+
+    def turn(self) -> None:
+        """Hand over what has happened, and do what the decision module says."""
+        if not self._events:
+            return
+        events, self._events = self._events, []
+        for action in self._balancer.handle(self._loop.now, events):
+            self._handlers[type(action)](action)
+        if self._events:
+            self._loop.again()  # some actions end at once; their events must not wait for a socket
+
+    # Service clients
+
+    def take_command(self, client: Client, wants: Wants) -> int:
+        """Take over a command, which is owed one final answer."""
+        wait = wants.wait_us
+        if wait is None:
+            wait = self._settings.classes[wants.cls].deadline_us
+        wait = min(wait, WAIT_MOST_US)
+        command = Command(client, wants, self._loop.now + wait)
+        token = self._commands.add(command)
+        # Should the decision module ever miss the deadline, the client gets its answer all the same.
+        command.limit = self._loop.after(wait + self._settings.answer_slack_us, lambda: self._overdue(token))
+        self.queue(
+            api.Arrival(
+                token,
+                wants.cls,
+                wait,
+                key=wants.key,
+                load=wants.load,
+                group=wants.group,
+                retry=wants.retry,
+                midflow=wants.midflow,
+                again=wants.again,
+                at=wants.at,
+            )
+        )
+        return token
+
+    def client_left(self, token: int) -> None:
+        """Take it that the client of a command that is not served yet has gone."""
+        command = self._commands.get(token)
+        if command is None or command.client is None:
+            return
+        command.client = None
+        self.queue(api.ClientGone(token))
+        self._drop(token, command)
+
+    def _overdue(self, token: int) -> None:
+        command = self._commands.get(token)
+        if command is None or command.client is None:
+            return
+        self._notices.tell("overdue answer", f"command {token} was failed at its deadline")
+        client, command.client = command.client, None
+        self.queue(api.ClientGone(token))
+        self._drop(token, command)
+        client.fail()
+
+    def _drop(self, token: int, command: Command) -> None:
+        """Forget a command that owes nothing more, and give up its execution."""
+        self._loop.cancel(command.limit)
+        self._commands.remove(token)
+        if command.execution is not None:
+            command.execution.cancel()
+            self._ended(token, command, api.Result.CANCELLED, None, finished=True)
+
+    # Executions
+
+    def may_begin(self, token: int) -> bool:
+        """Tell whether the instance of this execution may still get something new."""
+        command = self._commands.get(token)
+        return command is not None and self._open(command.host)
+
+    def _open(self, host: str) -> bool:
+        """Guard the drain rule once more: the list may have changed while a connect took its time."""
+        told = self.outside.instances.told_at(host)
+        return told is None or self._loop.now < told + self._settings.drain_grace_us - GRACE_MARGIN_US
+
+    def execution_up(self, token: int) -> None:
+        """Join the client to the instance that serves it."""
+        command = self._commands.get(token)
+        if command is None or command.client is None or command.execution is None:
+            return
+        latency = self._loop.now - command.begun_at
+        self.queue(api.Established(token, command.attempt, command.host, latency))
+        client, command.client = command.client, None
+        execution, command.execution = command.execution, None
+        self._loop.cancel(command.limit)
+        command.session = client.serve(execution, token)
+
+    def execution_over(self, token: int, result: api.Result, report: api.Report | None) -> None:
+        """Take how an execution ended that never came up."""
+        command = self._commands.get(token)
+        if command is not None and command.execution is not None:
+            command.execution = None
+            self._ended(token, command, result, report, finished=False)
+
+    def _ended(
+        self, token: int, command: Command, result: api.Result, report: api.Report | None, finished: bool
+    ) -> None:
+        latency = self._loop.now - command.begun_at
+        self.queue(api.AttemptEnded(token, command.attempt, command.host, result, latency, finished, report))
+
+    # Sessions
+
+    def session_load(self, token: int, load: float) -> None:
+        """Pass on a connection's new load."""
+        command = self._commands.get(token)
+        if command is not None:
+            self.queue(api.LoadNote(token, command.attempt, command.host, load))
+
+    def session_delay(self, token: int, delay_us: int) -> None:
+        """Pass on a slow answer, once a second for each instance, and the first that is not slow again."""
+        command = self._commands.get(token)
+        if command is None:
+            return
+        at, high = self._notes.get(command.host, (0, False))
+        slow = delay_us > self._slow_us
+        if (slow and (not high or self._loop.now >= at + NOTE_US)) or (high and not slow):
+            self._notes[command.host] = (self._loop.now, slow)
+            self.queue(api.DelayNote(token, command.attempt, command.host, float(delay_us)))
+
+    def session_waits(self, token: int, age_us: int) -> None:
+        """Pass on that an answer takes at least this long."""
+        self.session_delay(token, age_us)
+
+    def session_stalled(self, token: int, age_us: int) -> None:
+        """Pass on that a connection's instance is silent."""
+        command = self._commands.get(token)
+        if command is not None:
+            self.queue(api.Stalled(token, command.attempt, command.host, age_us))
+
+    def session_over(self, token: int, result: api.Result, report: api.Report | None) -> None:
+        """Take how a session ended."""
+        command = self._commands.remove(token)
+        if command is not None:
+            self._ended(token, command, result, report, finished=True)
+
+    # Actions
+
+    def _do_send(self, action: api.Send) -> None:
+        command = self._commands.get(action.request)
+        if command is None or command.client is None or command.execution is not None:
+            return
+        command.attempt += 1
+        command.host = action.server
+        command.begun_at = self._loop.now
+        address = self.outside.instances.address(action.server)
+        left = command.until - self._loop.now
+        wait = min(action.timeout_us or left, left)
+        if address is None or wait <= 0 or not self._open(action.server):
+            self._ended(action.request, command, api.Result.NOT_SENT, None, finished=False)
+            return
+        command.execution = self.outside.begin(action.request, command.payload, address, wait)
+
+    def _answered(self, token: int) -> Client | None:
+        """Close a command that is about to get its final answer; None if it has had one."""
+        command = self._commands.get(token)
+        if command is None or command.client is None:
+            return None
+        client, command.client = command.client, None
+        self._drop(token, command)
+        return client
+
+    def _do_refuse(self, action: api.Refuse) -> None:
+        client = self._answered(action.request)
+        if client is not None:
+            client.refuse(min(action.retry_after_us, self._settings.max_retry_after_us))
+
+    def _do_fail(self, action: api.Fail) -> None:
+        client = self._answered(action.request)
+        if client is not None:
+            client.fail()
+
+    def _do_cancel(self, action: api.Cancel) -> None:
+        command = self._commands.get(action.request)
+        if command is not None and command.execution is not None and command.attempt == action.attempt:
+            command.execution.cancel()
+            command.execution = None
+            self._ended(action.request, command, api.Result.CANCELLED, None, finished=False)
+
+    def _do_move(self, action: api.Move) -> None:
+        command = self._commands.get(action.request)
+        if command is not None and command.session is not None:
+            command.session.move()
+
+    def _do_probe(self, action: api.Probe) -> None:
+        address = self.outside.instances.address(action.server)
+        if address is None:
+            self.queue(api.ProbeResult(action.server, api.Result.NOT_SENT, 0))
+        else:
+            self.outside.probe(action.server, address)
+
+    def _do_timer(self, action: api.SetTimer) -> None:
+        event = api.TimerFired(action.token)
+        self._loop.after(action.delay_us, lambda: self.queue(event))
--- /dev/null
+++ b/larchhaven/net/buffers.py
@@ -0,0 +1,326 @@
+"""Buffers of one size from a bounded pool, and non-blocking streams that read and write through them."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import socket
+import struct
+from collections import deque
+from collections.abc import Callable
+from typing import Protocol
+
+from larchhaven.net.loop import READ, WRITE, Deadline, Loop
+
+# Room for a line of the greatest length and the beginning of the next.
+SIZE = 8192
+# A stream that was ended here reads on for so long, so that what it wrote last is not lost to a reset.
+LINGER_US = 1_000_000
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# Conditions of the whole process, not of the connection: no descriptors or no memory left for one more.
+SHORT_OF = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Buffer:
+    """Bytes between ``start`` and ``end`` of a block of fixed size."""
+
+    __slots__ = ("data", "end", "start", "view")
+
+    def __init__(self) -> None:
+        self.data = bytearray(SIZE)
+        self.view = memoryview(self.data)
+        self.start = self.end = 0
+
+    def __len__(self) -> int:
+        """Count the bytes held."""
+        return self.end - self.start
+
+    def held(self) -> memoryview:
+        """Show the bytes held."""
+        return self.view[self.start : self.end]
+
+    def room(self) -> memoryview:
+        """Show the free room, after moving what is held to the front."""
+        if self.start:
+            held = bytes(self.held())
+            self.view[: len(held)] = held
+            self.start, self.end = 0, len(held)
+        return self.view[self.end :]
+
+
+class Pool:
+    """Buffers that are used again; when all are out, those in want of one wait in line."""
+
+    def __init__(self, most: int) -> None:
+        self._free: list[Buffer] = []
+        self._left = most
+        self._waiting: deque[Callable[[], None]] = deque()
+
+    def take(self) -> Buffer | None:
+        """Return an empty buffer, or None when all are out."""
+        if self._free:
+            return self._free.pop()
+        if not self._left:
+            return None
+        self._left -= 1
+        return Buffer()
+
+    def give(self, buffer: Buffer) -> None:
+        """Take a buffer back and let the longest waiting have its turn."""
+        buffer.start = buffer.end = 0
+        self._free.append(buffer)
+        if self._waiting:
+            self._waiting.popleft()()
+
+    def wait(self, then: Callable[[], None]) -> None:
+        """Call ``then`` when a buffer has come back."""
+        self._waiting.append(then)
+
+
+class Owner(Protocol):
+    """Whoever a stream works for."""
+
+    def on_open(self) -> None:
+        """Note that the connection stands (only for streams that connect)."""
+
+    def on_input(self) -> None:
+        """Note that the inbox holds more."""
+
+    def on_room(self) -> None:
+        """Note that all that was written is out."""
+
+    def on_end(self) -> None:
+        """Note that the other side sends no more."""
+
+    def on_broken(self, code: int) -> None:
+        """Note that the connection is lost, or never came up; the stream is closed already."""
+
+
+class Stream:
+    """A TCP connection with at most one buffer each way."""
+
+    def __init__(self, loop: Loop, pool: Pool, sock: socket.socket, owner: Owner) -> None:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._loop = loop
+        self._pool = pool
+        self._sock = sock
+        self.owner = owner
+        self.inbox: Buffer | None = None
+        self._outbox: Buffer | None = None
+        self._reading = True
+        self._connecting = False
+        self._ending = False  # end our side once the outbox is empty
+        self._deaf = False  # input is thrown away
+        self.ended = False  # the other side sends no more
+        self.closed = False
+        self._linger: Deadline | None = None
+        self._channel = loop.add(sock, READ, self._on_ready)
+
+    @classmethod
+    def connect(cls, loop: Loop, pool: Pool, address: tuple[str, int], owner: Owner) -> Stream:
+        """Begin to connect; raise OSError if that fails at once."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        code = sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            raise OSError(code, errno.errorcode.get(code, "connect failed"))
+        stream = cls(loop, pool, sock, owner)
+        stream._connecting = True
+        stream._watch()
+        return stream
+
+    # Reading
+
+    def pause(self) -> None:
+        """Read no more until resumed: the backpressure on the other side."""
+        self._reading = False
+        self._watch()
+
+    def resume(self) -> None:
+        """Read again."""
+        self._reading = True
+        self._watch()
+
+    def consume(self, count: int) -> None:
+        """Drop bytes from the front of the inbox; an empty one goes back to the pool."""
+        if self.inbox is not None:
+            self.inbox.start += count
+            if not len(self.inbox):
+                inbox, self.inbox = self.inbox, None
+                self._pool.give(inbox)
+            if not self._reading and not self.closed:
+                self.resume()
+
+    def _read(self) -> None:
+        if self.inbox is None:
+            self.inbox = self._pool.take()
+            if self.inbox is None:
+                self.pause()
+                self._pool.wait(self.resume)
+                return
+        room = self.inbox.room()
+        if not len(room):
+            self.pause()
+            return
+        try:
+            count = self._sock.recv_into(room)
+        except (BlockingIOError, InterruptedError):
+            self.consume(0)
+            return
+        except OSError as error:
+            self._break(error.errno or errno.ECONNRESET)
+            return
+        if not count:
+            self.consume(0)
+            self.ended = True
+            self._watch()
+            if self._deaf:
+                self.close()
+            else:
+                self.owner.on_end()
+            return
+        if self._deaf:
+            self.consume(len(self.inbox) + count)
+            return
+        self.inbox.end += count
+        self.owner.on_input()
+
+    # Writing
+
+    @property
+    def pending(self) -> int:
+        """The bytes written that the system has not taken yet."""
+        return len(self._outbox) if self._outbox is not None else 0
+
+    def write(self, data: bytes | memoryview) -> int:
+        """Send what goes at once, keep what fits in the outbox, and return how much was taken in all."""
+        if self.closed or self._ending:
+            return 0
+        taken = 0
+        if not self.pending and not self._connecting:
+            try:
+                taken = self._sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                taken = 0
+            except OSError as error:
+                # The owner hears of it in a turn of its own: it may be in the midst of something.
+                code = error.errno or errno.EPIPE
+                self._loop.after(0, lambda: self._break(code))
+                return 0
+        if taken < len(data):
+            if self._outbox is None:
+                self._outbox = self._pool.take()
+            if self._outbox is not None:
+                room = self._outbox.room()
+                more = min(len(room), len(data) - taken)
+                room[:more] = data[taken : taken + more]
+                self._outbox.end += more
+                taken += more
+                self._watch()
+            else:
+                self._pool.wait(self._tell_room)
+        return taken
+
+    def _tell_room(self) -> None:
+        if not self.closed:
+            self.owner.on_room()
+
+    def _flush(self) -> None:
+        if self._outbox is not None:
+            try:
+                self._outbox.start += self._sock.send(self._outbox.held())
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                self._break(error.errno or errno.EPIPE)
+                return
+            if len(self._outbox):
+                return
+            outbox, self._outbox = self._outbox, None
+            self._pool.give(outbox)
+        self._watch()
+        if self._ending:
+            self._shut()
+        else:
+            self.owner.on_room()
+
+    # Ending
+
+    def end(self) -> None:
+        """End our side once all that was written is out; the other side may go on."""
+        if not self._ending and not self.closed:
+            self._ending = True
+            if not self.pending and not self._connecting:
+                self._shut()
+
+    def finish(self) -> None:
+        """End our side, drop whatever still comes, and close when the other side has ended or time is up.
+
+        Closing at once with input unread resets the connection, and the last line written may then never
+        be read at the other side.
+        """
+        if self.closed:
+            return
+        self.end()
+        if self.ended and not self.pending:
+            self.close()
+            return
+        self._deaf = True
+        if self.inbox is not None:
+            self.consume(len(self.inbox))
+        self.resume()
+        if self._linger is None:
+            self._linger = self._loop.after(LINGER_US, self.close)
+
+    def close(self, reset: bool = False) -> None:
+        """Close now; with ``reset`` the other side sees the connection break."""
+        if self.closed:
+            return
+        self.closed = True
+        self._loop.cancel(self._linger)
+        self._loop.remove(self._channel)
+        if reset:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self._sock.close()
+        for buffer in (self.inbox, self._outbox):
+            if buffer is not None:
+                self._pool.give(buffer)
+        self.inbox = self._outbox = None
+
+    def _shut(self) -> None:
+        with contextlib.suppress(OSError):  # broken already: the next read tells
+            self._sock.shutdown(socket.SHUT_WR)
+        if self._deaf and self.ended:
+            self.close()
+
+    def _break(self, code: int) -> None:
+        if not self.closed:
+            self.close()
+            if not self._deaf:
+                self.owner.on_broken(code)
+
+    # Readiness
+
+    def _watch(self) -> None:
+        if self.closed:
+            return
+        events = READ if self._reading and not self.ended and not self._connecting else 0
+        if self._connecting or self.pending:
+            events |= WRITE
+        self._loop.set_events(self._channel, events)
+
+    def _on_ready(self, events: int) -> None:
+        if self._connecting:
+            code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                self._break(code)
+                return
+            self._connecting = False
+            self._watch()
+            self.owner.on_open()
+            return
+        if events & WRITE:
+            self._flush()
+        if events & READ and not self.closed:
+            self._read()
--- /dev/null
+++ b/larchhaven/net/clients.py
@@ -0,0 +1,186 @@
+"""The service clients' side: accept connections, read first lines, give answers."""
+
+from __future__ import annotations
+
+import errno
+import socket
+from collections.abc import Mapping
+
+from larchhaven.net import lines
+from larchhaven.net.broker import Broker, Wants
+from larchhaven.net.buffers import SHORT_OF, Pool, Stream
+from larchhaven.net.executions import Execution
+from larchhaven.net.loop import READ, Deadline, Loop
+from larchhaven.net.notices import Notices
+from larchhaven.net.relay import Relay
+
+BACKLOG = 1024
+ACCEPTS_A_TURN = 64
+# Accepting rests for so long when the process is out of descriptors or memory.
+SHORT_REST_US = 100_000
+# A connection must bring its first line within this time; one that sent a PING may rest for longer.
+FIRST_LINE_US = 10_000_000
+PING_REST_US = 60_000_000
+# Descriptors kept free for what is not a standing connection: probes, discovery, executions that connect.
+SPARE_DESCRIPTORS = 128
+
+
+class ServiceClient:
+    """One connection of a service client, until it is served or answered."""
+
+    def __init__(self, listener: Listener, sock: socket.socket) -> None:
+        self._listener = listener
+        self._loop = listener.loop
+        self._token: int | None = None  # of its command, while the broker has it
+        self.stream = Stream(listener.loop, listener.pool, sock, self)
+        self._limit: Deadline | None = self._loop.after(FIRST_LINE_US, self._on_idle)
+
+    # The stream's owner
+
+    def on_open(self) -> None:
+        """Nothing: an accepted connection stands already."""
+
+    def on_room(self) -> None:
+        """Nothing: answers are short."""
+
+    def on_input(self) -> None:
+        """Read the first line; what comes behind it waits for the instance."""
+        while self._token is None and self.stream.inbox is not None:
+            try:
+                line = lines.take_line(self.stream.inbox)
+                if line is None:
+                    return
+                self.stream.consume(0)
+                if line + lines.END == lines.PING:
+                    self.stream.write(lines.PONG)
+                    self._rest(PING_REST_US)
+                    continue
+                opening = lines.read_opening(line, self._listener.classes)
+            except lines.BadLineError as error:
+                self._listener.notices.tell("bad first line", str(error))
+                self.fail()
+                return
+            self._loop.cancel(self._limit)
+            self._limit = None
+            wants = Wants(
+                payload=opening.line,
+                cls=opening.cls,
+                wait_us=opening.wait_us,
+                key=opening.key,
+                group=opening.group,
+                load=opening.load,
+                retry=opening.retry,
+                again=opening.again,
+                midflow=opening.midflow,
+                at=opening.at,
+            )
+            self._token = self._listener.broker.take_command(self, wants)
+
+    def on_end(self) -> None:
+        """Take it that the client has left: it would hold its side open while it waits."""
+        self._leave()
+        self.stream.finish()
+
+    def on_broken(self, code: int) -> None:
+        """Take it that the client has left."""
+        self._leave()
+
+    def _leave(self) -> None:
+        self._loop.cancel(self._limit)
+        self._listener.count_out(self)
+        if self._token is not None:
+            self._listener.broker.client_left(self._token)
+
+    def _rest(self, limit_us: int) -> None:
+        self._loop.cancel(self._limit)
+        self._limit = self._loop.after(limit_us, self._on_idle)
+
+    def _on_idle(self) -> None:
+        self._listener.count_out(self)
+        self.stream.finish()
+
+    # Answers, as the broker gives them
+
+    def refuse(self, retry_after_us: int) -> None:
+        """Answer that trying again is harmless."""
+        self._answer(lines.busy(retry_after_us))
+
+    def fail(self) -> None:
+        """Answer that it failed."""
+        self._answer(lines.FAILED)
+
+    def _answer(self, line: bytes) -> None:
+        self._loop.cancel(self._limit)
+        self._listener.count_out(self)
+        self.stream.write(line)
+        self.stream.finish()
+
+    def serve(self, execution: Execution, token: int) -> Relay:
+        """Join the client to the instance that took its command."""
+        self._listener.count_out(self)
+        assert execution.stream is not None  # it has come up
+        return Relay(
+            self._loop, self.stream, execution.stream, execution.up_line, self._listener.broker, token
+        )
+
+
+class Listener:
+    """Accepts service clients at one address."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        pool: Pool,
+        broker: Broker,
+        notices: Notices,
+        address: tuple[str, int],
+        classes: Mapping[str, int],
+        most: int,
+    ) -> None:
+        self.loop = loop
+        self.pool = pool
+        self.broker = broker
+        self.notices = notices
+        self.classes = classes
+        self._most = most
+        self._opening: set[ServiceClient] = set()
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._sock.bind(address)
+        self._sock.listen(BACKLOG)
+        self._channel = loop.add(self._sock, READ, self._on_ready)
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """The address in use; its port was chosen by the system if 0 was asked for."""
+        host, port = self._sock.getsockname()
+        return host, port
+
+    def count_out(self, client: ServiceClient) -> None:
+        """Count a client as answered, served or gone."""
+        self._opening.discard(client)
+
+    def _on_ready(self, _: int) -> None:
+        for _turn in range(ACCEPTS_A_TURN):
+            # A command may come to hold two descriptors, the client's and the execution's.
+            if len(self._opening) + 2 * self.broker.held() >= self._most:
+                self._pause("all descriptors are in use")
+                return
+            try:
+                sock, _address = self._sock.accept()
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in SHORT_OF:
+                    self._pause(errno.errorcode.get(error.errno, "out of resources"))
+                    return
+                continue  # that client has gone again
+            try:
+                self._opening.add(ServiceClient(self, sock))
+            except OSError:
+                sock.close()
+
+    def _pause(self, why: str) -> None:
+        self.notices.tell("accepting rests", why)
+        self.loop.set_events(self._channel, 0)
+        self.loop.after(SHORT_REST_US, lambda: self.loop.set_events(self._channel, READ))
--- /dev/null
+++ b/larchhaven/net/config.py
@@ -0,0 +1,119 @@
+"""The proxy's configuration: one JSON file, whose settings have the names of the simulator's wire."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from larchhaven import interface as api
+from larchhaven import wire
+from larchhaven.net.discovery import HostList, read_address
+
+
+class ConfigError(Exception):
+    """A configuration that the proxy cannot start with, in one plain sentence."""
+
+
+class Limits(msgspec.Struct):
+    """What the machine grants the proxy."""
+
+    cores: float = 1.0
+    memory_mb: float = 192
+    sockets: int = 1024
+
+
+class _File(msgspec.Struct):
+    """The file as it is written."""
+
+    settings: dict[str, Any]
+    name: str = ""
+    listen: str = ""
+    discovery: str = ""
+    seed: str = "0"
+    limits: Limits = msgspec.field(default_factory=Limits)
+    peer_listen: str | None = None
+    peers: list[str] = msgspec.field(default_factory=list)
+    peers_all: str | None = None
+    known: HostList | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What a proxy is told at its start."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    limits: Limits
+    peer_listen: tuple[str, int] | None
+    peers: tuple[tuple[str, int], ...]
+    peers_all: tuple[str, int] | None
+    known: HostList
+    settings: api.Settings
+    classes: dict[str, int]
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+
+
+def _address(text: str, what: str) -> tuple[str, int]:
+    address = read_address(text)
+    if address is None:
+        raise ConfigError(f"{what} must be host:port, not {text!r}")
+    return address
+
+
+def _names(settings: Mapping[str, Any], path: str) -> tuple[str, ...]:
+    values = settings.get(path) or []
+    if not isinstance(values, list):
+        raise ConfigError(f"settings.{path} must be a list of names")
+    return tuple(str(value) for value in values)
+
+
+def load(environment: Mapping[str, str]) -> Config:
+    """Read the file that ``EDGE_CONFIG`` names; what it leaves out comes from the environment."""
+    path = environment.get("EDGE_CONFIG", "")
+    if not path:
+        raise ConfigError("EDGE_CONFIG is not set: it names the configuration file")
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as error:
+        raise ConfigError(f"{path} cannot be read: {error.strerror}") from None
+    return decode(raw, environment)
+
+
+def decode(raw: bytes, environment: Mapping[str, str]) -> Config:
+    """Read a configuration's text."""
+    try:
+        file = msgspec.json.decode(raw, type=_File)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"the configuration is not as it should be: {error}") from None
+    try:
+        settings = wire.decode_nested_settings(file.settings)
+    except wire.WireError as error:
+        raise ConfigError(f"settings: {error}") from None
+    try:
+        seed = int(file.seed, 16)
+    except ValueError:
+        raise ConfigError(f"seed must be a hexadecimal number, not {file.seed!r}") from None
+    services = file.settings.get("services")
+    names = [str(service.get("name", "")) for service in services] if isinstance(services, list) else []
+    return Config(
+        name=file.name or environment.get("EDGE_NAME", ""),
+        listen=_address(file.listen or environment.get("EDGE_LISTEN", ""), "listen"),
+        discovery=_address(file.discovery or environment.get("EDGE_DISCOVERY", ""), "discovery"),
+        seed=seed,
+        limits=file.limits,
+        peer_listen=_address(file.peer_listen, "peer_listen") if file.peer_listen else None,
+        peers=tuple(_address(peer, "peers") for peer in file.peers),
+        peers_all=_address(file.peers_all, "peers_all") if file.peers_all else None,
+        known=file.known or HostList(seq=0, hosts=[], whole=True),
+        settings=settings,
+        classes={name: i for i, name in enumerate(names)},
+        zones=_names(file.settings, "zones"),
+        kinds=_names(file.settings, "kinds"),
+    )
--- /dev/null
+++ b/larchhaven/net/discovery.py
@@ -0,0 +1,275 @@
+"""Discovery: the list of instances over one kept HTTP connection, and where each instance is reached."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+import httptools
+import msgspec
+
+from larchhaven import interface as api
+from larchhaven.net.buffers import Pool, Stream
+from larchhaven.net.loop import Deadline, Loop, unix_offset_us
+from larchhaven.net.notices import Notices
+
+# How long discovery may hold a watch, and how long after that the answer may take.
+HOLD_MS = 8_000
+ANSWER_US = 2_000_000
+# The next watch follows the last answer at once, but not sooner than this after the last call: an answer
+# without news that does not wait would otherwise be asked for in a tight loop. The limit is 200 ms.
+CALL_GAP_US = 50_000
+BODY_MOST = 4 << 20
+
+_STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
+
+
+class HostEntry(msgspec.Struct):
+    """One instance as discovery describes it."""
+
+    host: str
+    dial: str = ""
+    site: str = ""
+    kind: str = msgspec.field(name="class", default="")
+    block: int = 0
+    health: str = "ready"
+    share: float = 1.0
+    born_ms: float = 0
+
+
+class HostList(msgspec.Struct):
+    """An answer of discovery."""
+
+    seq: int
+    hosts: list[HostEntry]
+    whole: bool = False
+
+
+def read_address(text: str) -> tuple[str, int] | None:
+    """Read ``host:port``; None if it is no such thing."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdigit() or not 0 <= int(port) < 65536:
+        return None
+    return host, int(port)
+
+
+class Directory:
+    """What discovery has told: the addresses, by host, and since when each instance is to be left alone."""
+
+    def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
+        self._zones = {name: i for i, name in enumerate(zones)}
+        self._kinds = {name: i for i, name in enumerate(kinds)}
+        self._addresses: dict[str, tuple[str, int]] = {}
+        self._told: dict[str, int] = {}
+        self._offset = unix_offset_us()
+        self.forget: Callable[[str], None] = lambda host: None
+
+    def address(self, host: str) -> tuple[str, int] | None:
+        """Where the instance is reached from here."""
+        return self._addresses.get(host)
+
+    def told_at(self, host: str) -> int | None:
+        """When it was first told that the instance drains or is gone; None while it is ready."""
+        return self._told.get(host)
+
+    def take(self, kind: api.ListKind, told: HostList, now: int) -> api.FleetList:
+        """Take in a list and turn it into the decision module's event."""
+        if kind is not api.ListKind.CHANGES:
+            named = {entry.host for entry in told.hosts}
+            for host in [h for h in self._addresses if h not in named]:
+                self._leave(host, now, gone=True)
+        entries = tuple(self._entry(entry, now) for entry in told.hosts)
+        return api.FleetList(kind, told.seq, entries)
+
+    def _entry(self, entry: HostEntry, now: int) -> api.ServerEntry:
+        # A state that is not known yet is none to send something new to.
+        state = _STATES.get(entry.health, api.State.DRAINING)
+        address = read_address(entry.dial)
+        if address is not None:
+            self._addresses[entry.host] = address
+        if state is api.State.READY:
+            self._told.pop(entry.host, None)
+        else:
+            self._leave(entry.host, now, gone=state is api.State.GONE)
+        born = int(entry.born_ms * 1000)
+        return api.ServerEntry(
+            entry.host,
+            state,
+            entry.share,
+            self._zones.get(entry.site, len(self._zones)),
+            entry.block,
+            self._kinds.get(entry.kind, len(self._kinds)),
+            max(born - self._offset, 1) if born else 0,
+        )
+
+    def _leave(self, host: str, now: int, gone: bool) -> None:
+        self._told.setdefault(host, now)
+        if gone:
+            self.forget(host)
+            self._addresses.pop(host, None)
+
+
+class Discovery:
+    """Calls discovery: a watch that is renewed at once, or a single fetch of the whole list."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        pool: Pool,
+        notices: Notices,
+        address: tuple[str, int],
+        seq: int,
+        told: Callable[[HostList | None], None],
+    ) -> None:
+        self._loop = loop
+        self._pool = pool
+        self._notices = notices
+        self._address = address
+        self._seq = seq
+        self._told = told
+        self._stream: Stream | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._body = bytearray()
+        self._watching = False
+        self._whole = False  # the next call asks for the whole list
+        self._calling = False
+        self._open = False
+        self._done = False
+        self._called_at = -CALL_GAP_US
+        self._limit: Deadline | None = None
+        self._next: Deadline | None = None
+
+    def watch(self, on: bool) -> None:
+        """Begin, or go on, to ask for changes; or stop."""
+        self._watching = on
+        if on and not self._calling:
+            self._call()
+
+    def fetch(self) -> None:
+        """Ask for the whole list once; a watch under way is left for it and renewed after."""
+        self._whole = True
+        if self._calling:
+            self._hang_up()
+        self._call()
+
+    # Calls
+
+    def _call(self) -> None:
+        self._loop.cancel(self._next)
+        self._calling = True
+        self._called_at = self._loop.now
+        hold = 0 if self._whole else HOLD_MS
+        self._limit = self._loop.after(hold * 1000 + ANSWER_US, lambda: self._fail("no answer in time"))
+        if self._stream is None:
+            try:
+                self._stream = Stream.connect(self._loop, self._pool, self._address, self)
+            except OSError as error:
+                why = str(error)
+                self._loop.after(0, lambda: self._fail(why))
+        elif self._open:
+            self._ask()
+
+    def _ask(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._body.clear()
+        self._done = False
+        query = "" if self._whole else f"?from={self._seq}&hold_ms={HOLD_MS}"
+        host, port = self._address
+        request = f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
+        if self._stream is not None:
+            self._stream.write(request.encode())
+
+    def _hang_up(self) -> None:
+        self._loop.cancel(self._limit)
+        self._calling = False
+        self._open = False
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+    def _fail(self, why: str) -> None:
+        if self._calling:
+            self._hang_up()
+            self._watching = self._whole = False
+            self._notices.tell("discovery failed", why)
+            self._told(None)
+
+    def _answer(self) -> None:
+        parser = self._parser
+        assert parser is not None  # only called for a parsed answer
+        status = parser.get_status_code()
+        if status != 200:
+            self._fail(f"status {status}")
+            return
+        try:
+            told = msgspec.json.decode(bytes(self._body), type=HostList)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            self._fail(str(error))
+            return
+        told.whole = told.whole or self._whole
+        self._loop.cancel(self._limit)
+        self._calling = self._whole = False
+        self._seq = told.seq
+        if not parser.should_keep_alive():
+            self._hang_up()
+        self._told(told)
+        if self._watching:
+            wait = self._called_at + CALL_GAP_US - self._loop.now
+            if wait > 0:
+                self._next = self._loop.after(wait, self._call)
+            else:
+                self._call()
+
+    # The parser's callbacks
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the answer."""
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        """Note that the answer is whole."""
+        self._done = True
+
+    # The stream's owner
+
+    def on_open(self) -> None:
+        """Ask as soon as the connection stands."""
+        self._open = True
+        if self._calling:
+            self._ask()
+
+    def on_room(self) -> None:
+        """Nothing: calls are short."""
+
+    def on_input(self) -> None:
+        """Feed the parser."""
+        stream = self._stream
+        if stream is None or stream.inbox is None:
+            return
+        data = bytes(stream.inbox.held())
+        stream.consume(len(data))
+        if not self._calling or self._parser is None:
+            self._hang_up()  # it speaks without being asked
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"bad HTTP: {error}")
+            return
+        if len(self._body) > BODY_MOST:
+            self._fail("the answer is too long")
+        elif self._done:
+            self._answer()
+
+    def on_end(self) -> None:
+        """Take the end of the connection, which is a failure only while a call is out."""
+        if self._calling:
+            self._fail("the connection ended")
+        else:
+            self._hang_up()
+
+    def on_broken(self, code: int) -> None:
+        """Take the loss of the connection."""
+        self._stream = None
+        self._open = False
+        if self._calling:
+            self._fail(f"the connection broke ({code})")
--- /dev/null
+++ b/larchhaven/net/executions.py
@@ -0,0 +1,139 @@
+"""Executions: single attempts of a command at an instance, from the connect to ``UP`` or an outcome."""
+
+from __future__ import annotations
+
+import errno
+from typing import Protocol
+
+from larchhaven import interface as api
+from larchhaven.net import lines
+from larchhaven.net.buffers import SHORT_OF, Pool, Stream
+from larchhaven.net.loop import Loop
+
+
+class ExecutionOwner(Protocol):
+    """Whom an execution tells of its life."""
+
+    def may_begin(self, token: int) -> bool:
+        """Tell whether the first byte may still be sent to the instance."""
+
+    def execution_up(self, token: int) -> None:
+        """Take that the instance serves the command."""
+
+    def execution_over(self, token: int, result: api.Result, report: api.Report | None) -> None:
+        """Take how the execution ended without having come up."""
+
+
+class Execution:
+    """One attempt; its owner hears exactly once how it came out, unless it cancels."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        pool: Pool,
+        owner: ExecutionOwner,
+        token: int,
+        first_line: bytes,
+        address: tuple[str, int],
+        connect_us: int,
+        wait_us: int,
+    ) -> None:
+        self._loop = loop
+        self._owner = owner
+        self._token = token
+        self._first_line = first_line
+        self._until = loop.now + wait_us
+        self._written = False
+        self._over = False
+        self.up_line = b""
+        self._connect_limit = loop.after(min(connect_us, wait_us), self._on_late_connect)
+        self._limit = loop.after(wait_us, self._on_late)
+        self.stream: Stream | None = None
+        try:
+            self.stream = Stream.connect(loop, pool, address, self)
+        except OSError as error:
+            short = error.errno in SHORT_OF
+            result = api.Result.NOT_SENT if short else api.Result.UNREACHABLE
+            # Told in a turn of its own: the owner is still at work on the action that began this.
+            loop.after(0, lambda: self._end(result))
+
+    # The stream's owner
+
+    def on_open(self) -> None:
+        """Send the first line, unless the instance was told to drain while the connect took its time."""
+        self._loop.cancel(self._connect_limit)
+        stream = self.stream
+        if stream is None or self._over:
+            return
+        if not self._owner.may_begin(self._token):
+            self._end(api.Result.NOT_SENT)
+            return
+        line = lines.with_wait(self._first_line, self._until - self._loop.now)
+        if stream.write(line) < len(line):
+            self._end(api.Result.NOT_SENT)  # no buffer left for the rest
+            return
+        self._written = not stream.pending
+
+    def on_room(self) -> None:
+        """Note that the last byte of the line is written: from here on it may have run."""
+        self._written = True
+
+    def on_input(self) -> None:
+        """Read the instance's answer."""
+        inbox = self.stream.inbox if self.stream is not None else None
+        if self._over or inbox is None or self.stream is None:
+            return
+        try:
+            line = lines.take_line(inbox)
+        except lines.BadLineError:
+            self._end(api.Result.ERROR)
+            return
+        if line is None:
+            return
+        self.stream.consume(0)
+        if lines.is_up(line):
+            self._over = True
+            self._stop_clocks()
+            self.up_line = line
+            self._owner.execution_up(self._token)
+            return
+        result, report = lines.read_ending(line) or (api.Result.ERROR, None)
+        self._end(result, report)
+
+    def on_end(self) -> None:
+        """Take an end without an answer."""
+        self._end(api.Result.RESET if self._written else api.Result.UNREACHABLE)
+
+    def on_broken(self, code: int) -> None:
+        """Take a break, which proves that nothing ran only before the line's last byte was written."""
+        if code in SHORT_OF and code != errno.ENOBUFS:
+            self._end(api.Result.NOT_SENT)
+        else:
+            self._end(api.Result.RESET if self._written else api.Result.UNREACHABLE)
+
+    # Limits
+
+    def _on_late_connect(self) -> None:
+        self._end(api.Result.UNREACHABLE)
+
+    def _on_late(self) -> None:
+        self._end(api.Result.TIMEOUT if self._written else api.Result.UNREACHABLE)
+
+    # Ending
+
+    def cancel(self) -> None:
+        """Give up without a word to the owner."""
+        if not self._over:
+            self._over = True
+            self._stop_clocks()
+            if self.stream is not None:
+                self.stream.close()
+
+    def _end(self, result: api.Result, report: api.Report | None = None) -> None:
+        if not self._over:
+            self.cancel()  # closed before the owner hears of it: the next execution must not overlap
+            self._owner.execution_over(self._token, result, report)
+
+    def _stop_clocks(self) -> None:
+        self._loop.cancel(self._connect_limit)
+        self._loop.cancel(self._limit)
--- /dev/null
+++ b/larchhaven/net/loop.py
@@ -0,0 +1,166 @@
+"""The event loop: one selector, one clock reading a turn, one heap of deadlines, signals as events."""
+
+from __future__ import annotations
+
+import heapq
+import selectors
+import signal
+import socket
+import time
+from collections.abc import Callable
+
+from larchhaven.net.slots import Slots
+
+READ = selectors.EVENT_READ
+WRITE = selectors.EVENT_WRITE
+# Cancelled deadlines are dropped when they come due; with more of them than this and than live ones, at once.
+_DEAD_MOST = 1_000
+
+
+class Deadline:
+    """Something to be done at a time, unless it is cancelled first."""
+
+    __slots__ = ("at", "then")
+
+    def __init__(self, at: int, then: Callable[[], None]) -> None:
+        self.at = at
+        self.then: Callable[[], None] | None = then
+
+
+class _Channel:
+    """One watched socket."""
+
+    __slots__ = ("events", "sock", "then")
+
+    def __init__(self, sock: socket.socket, then: Callable[[int], None]) -> None:
+        self.sock = sock
+        self.then = then
+        self.events = 0
+
+
+def unix_offset_us() -> int:
+    """Microseconds from the loop's clock to Unix time: the one place where the two clocks meet."""
+    return time.time_ns() // 1000 - time.monotonic_ns() // 1000
+
+
+class Loop:
+    """Runs callbacks for ready sockets, due deadlines and signals; ``now`` stands still within a turn."""
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+        self._channels: Slots[_Channel] = Slots()
+        self._heap: list[tuple[int, int, Deadline]] = []
+        self._dead = 0
+        self._order = 0
+        self._again = False
+        self._running = False
+        self._signals: dict[int, Callable[[], None]] = {}
+        self.now = time.monotonic_ns() // 1000
+        self.turn_end: Callable[[], None] = lambda: None
+
+    # Sockets
+
+    def add(self, sock: socket.socket, events: int, then: Callable[[int], None]) -> int:
+        """Call ``then`` with what the socket is ready for, whenever it is; return the channel's token."""
+        token = self._channels.add(_Channel(sock, then))
+        self.set_events(token, events)
+        return token
+
+    def set_events(self, token: int, events: int) -> None:
+        """Change what the socket is watched for; with nothing, the channel rests."""
+        channel = self._channels.get(token)
+        if channel is None or channel.events == events:
+            return
+        if not channel.events:
+            self._selector.register(channel.sock, events, token)
+        elif events:
+            self._selector.modify(channel.sock, events, token)
+        else:
+            self._selector.unregister(channel.sock)
+        channel.events = events
+
+    def remove(self, token: int) -> None:
+        """Stop watching; events of this turn that still wait for the channel are dropped."""
+        self.set_events(token, 0)
+        self._channels.remove(token)
+
+    # Time
+
+    def after(self, delay_us: int, then: Callable[[], None]) -> Deadline:
+        """Call ``then`` once, so many microseconds from now."""
+        deadline = Deadline(self.now + delay_us, then)
+        self._order += 1
+        heapq.heappush(self._heap, (deadline.at, self._order, deadline))
+        return deadline
+
+    def cancel(self, deadline: Deadline | None) -> None:
+        """Forget a deadline; one that is over, or None, does no harm."""
+        if deadline is None or deadline.then is None:
+            return
+        deadline.then = None
+        self._dead += 1
+        if self._dead > _DEAD_MOST and 2 * self._dead > len(self._heap):
+            self._heap = [entry for entry in self._heap if entry[2].then is not None]
+            heapq.heapify(self._heap)
+            self._dead = 0
+
+    def again(self) -> None:
+        """Do not sleep before the next turn: there is something left to do."""
+        self._again = True
+
+    # Signals
+
+    def on_signal(self, number: int, then: Callable[[], None]) -> None:
+        """Call ``then`` within a turn after the signal came."""
+        if not self._signals:
+            waker, sleeper = socket.socketpair()
+            waker.setblocking(False)
+            sleeper.setblocking(False)
+            signal.set_wakeup_fd(waker.fileno(), warn_on_full_buffer=False)
+            self._wakeup = waker, sleeper  # kept open as long as the loop
+            self.add(sleeper, READ, lambda _: self._take_signals(sleeper))
+        self._signals[number] = then
+        signal.signal(number, lambda *_: None)
+
+    def _take_signals(self, sleeper: socket.socket) -> None:
+        for number in sleeper.recv(64):
+            then = self._signals.get(number)
+            if then is not None:
+                then()
+
+    # Turns
+
+    def stop(self) -> None:
+        """Leave ``run`` at the end of this turn."""
+        self._running = False
+
+    def run(self) -> None:
+        """Turn until stopped."""
+        self._running = True
+        while self._running:
+            self.turn()
+
+    def turn(self) -> None:
+        """Wait for something to happen, and do all that is due."""
+        ready = self._selector.select(self._patience())
+        self._again = False
+        self.now = time.monotonic_ns() // 1000
+        for key, events in ready:
+            # A callback before this one may have closed the channel, and its number may be in use again.
+            channel = self._channels.get(key.data)
+            if channel is not None:
+                channel.then(events & channel.events)
+        while self._heap and (self._heap[0][0] <= self.now or self._heap[0][2].then is None):
+            then = heapq.heappop(self._heap)[2].then
+            if then is None:
+                self._dead = max(self._dead - 1, 0)
+            else:
+                then()
+        self.turn_end()
+
+    def _patience(self) -> float | None:
+        if self._again:
+            return 0
+        if not self._heap:
+            return None
+        return max(self._heap[0][0] - time.monotonic_ns() // 1000, 0) / 1e6
--- /dev/null
+++ b/larchhaven/net/node.py
@@ -0,0 +1,132 @@
+"""The whole proxy: every part, joined to the others, and its start and stop."""
+
+from __future__ import annotations
+
+import logging
+import resource
+import signal
+
+from larchhaven import interface as api
+from larchhaven.net.broker import Broker, Outside
+from larchhaven.net.buffers import SIZE, Pool
+from larchhaven.net.clients import SPARE_DESCRIPTORS, Listener
+from larchhaven.net.config import Config
+from larchhaven.net.discovery import Directory, Discovery, HostList
+from larchhaven.net.executions import Execution
+from larchhaven.net.loop import Loop
+from larchhaven.net.notices import Notices
+from larchhaven.net.peers import Peers
+from larchhaven.net.probes import Probes
+
+# The part of the memory limit that buffers may fill.
+BUFFER_SHARE = 0.25
+# New connections come for a while after the signal to stop: other parties learn of it late.
+ARRIVALS_END_US = 1_000_000
+STOP_LOOK_US = 100_000
+
+_log = logging.getLogger("larchhaven")
+
+
+class Node:
+    """One proxy."""
+
+    def __init__(self, config: Config) -> None:
+        self._config = config
+        settings = config.settings
+        self._loop = loop = Loop()
+        self._notices = notices = Notices(loop)
+        pool = Pool(max(int(BUFFER_SHARE * config.limits.memory_mb * (1 << 20)) // SIZE, 64))
+        self._broker = broker = Broker(loop, notices, settings, config.seed)
+        self._directory = Directory(config.zones, config.kinds)
+        self._probes = Probes(loop, pool, settings.connect_timeout_us, self._on_probe)
+        self._directory.forget = self._probes.drop
+        self._discovery = Discovery(loop, pool, notices, config.discovery, config.known.seq, self._on_list)
+        self._peers: Peers | None = None
+        if config.peer_listen is not None:
+            self._peers = Peers(
+                loop, notices, config.peer_listen, config.peers, config.peers_all, self._on_peer
+            )
+
+        def begin(token: int, first_line: bytes, address: tuple[str, int], wait_us: int) -> Execution:
+            return Execution(
+                loop, pool, broker, token, first_line, address, settings.connect_timeout_us, wait_us
+            )
+
+        broker.outside = Outside(
+            instances=self._directory,
+            begin=begin,
+            probe=self._probes.probe,
+            close_idle=self._probes.drop,
+            watch=self._discovery.watch,
+            fetch=self._discovery.fetch,
+            tell=self._tell,
+        )
+        most = self._descriptors() - SPARE_DESCRIPTORS
+        self._listener = Listener(loop, pool, broker, notices, config.listen, config.classes, most)
+        loop.turn_end = broker.turn
+        self._stopping = False
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.on_signal(number, self._on_stop)
+
+    def run(self) -> None:
+        """Serve until told to stop."""
+        known = self._directory.take(api.ListKind.REMEMBERED, self._config.known, self._loop.now)
+        self._broker.queue(known)
+        self._broker.turn()
+        host, port = self._listener.address
+        _log.info("%s listens at %s:%d", self._config.name or "larchhaven", host, port)
+        self._loop.run()
+        _log.info("stopped")
+
+    def _descriptors(self) -> int:
+        """Take what the configuration grants, as far as the system lets us."""
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        wanted = self._config.limits.sockets
+        if hard != resource.RLIM_INFINITY:
+            wanted = min(wanted, hard)
+        if soft != resource.RLIM_INFINITY and soft < wanted:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+        return wanted
+
+    # News for the decision module
+
+    def _on_list(self, told: HostList | None) -> None:
+        if told is None:
+            self._broker.queue(api.FleetList(api.ListKind.FAILED))
+            return
+        kind = api.ListKind.COMPLETE if told.whole else api.ListKind.CHANGES
+        self._broker.queue(self._directory.take(kind, told, self._loop.now))
+
+    def _on_probe(self, host: str, result: api.Result, latency_us: int, report: api.Report | None) -> None:
+        self._broker.queue(api.ProbeResult(host, result, latency_us, report))
+
+    def _on_peer(self, sender: int, data: bytes) -> None:
+        self._broker.queue(api.PeerMessage(sender, data))
+
+    def _tell(self, peer: int | None, data: bytes) -> None:
+        if self._peers is not None:
+            self._peers.tell(peer, data)
+
+    # The end
+
+    def _on_stop(self) -> None:
+        """Go on serving: new connections still come; leave when nothing is left, or at the second signal.
+
+        Where packets pass through, standing connections go on until the process ends: others take them over
+        then. Elsewhere they would be lost, and the decision module moves them.
+        """
+        if self._stopping:
+            self._loop.stop()
+            return
+        self._stopping = True
+        _log.info("told to stop")
+        settings = self._config.settings
+        if not settings.pass_through:
+            self._broker.queue(api.Leaving(max(c.deadline_us for c in settings.classes)))
+        self._loop.after(ARRIVALS_END_US, self._leave_when_done)
+
+    def _leave_when_done(self) -> None:
+        if self._broker.held():
+            self._loop.after(STOP_LOOK_US, self._leave_when_done)
+        else:
+            self._loop.stop()
--- /dev/null
+++ b/larchhaven/net/notices.py
@@ -0,0 +1,35 @@
+"""Log lines for the operators that no outside party can turn into a flood."""
+
+from __future__ import annotations
+
+import logging
+
+from larchhaven.net.loop import Loop
+
+# The same notice is written at most once in this time; those held back are counted.
+QUIET_US = 10_000_000
+# Kinds of notices that are remembered; beyond, the oldest is forgotten.
+KINDS_MOST = 200
+
+_log = logging.getLogger("larchhaven")
+
+
+class Notices:
+    """Writes each kind of notice now and then."""
+
+    def __init__(self, loop: Loop) -> None:
+        self._loop = loop
+        # By kind: when it may be written next, and how many were held back.
+        self._kinds: dict[str, tuple[int, int]] = {}
+
+    def tell(self, kind: str, detail: str) -> None:
+        """Write a notice, unless one of its kind was written a moment ago."""
+        until, held = self._kinds.get(kind, (0, 0))
+        if self._loop.now < until:
+            self._kinds[kind] = (until, held + 1)
+            return
+        if len(self._kinds) >= KINDS_MOST:
+            del self._kinds[next(iter(self._kinds))]
+        self._kinds[kind] = (self._loop.now + QUIET_US, 0)
+        more = f" ({held} more like it)" if held else ""
+        _log.warning("%s: %s%s", kind, detail[:200].encode("unicode_escape").decode(), more)
--- /dev/null
+++ b/larchhaven/net/peers.py
@@ -0,0 +1,68 @@
+"""Messages to the other proxies of the tier: UDP datagrams that come late or never."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable, Sequence
+
+from larchhaven.net.loop import READ, Loop
+from larchhaven.net.notices import Notices
+
+LONGEST = 256
+READS_A_TURN = 64
+
+Address = tuple[str, int]
+
+
+class Peers:
+    """Sends to one proxy or to all, and tells from whom a message came."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        notices: Notices,
+        listen: Address,
+        peers: Sequence[Address],
+        everyone: Address | None,
+        heard: Callable[[int, bytes], None],
+    ) -> None:
+        self._notices = notices
+        self._peers = list(peers)
+        self._numbers = {address: i for i, address in enumerate(peers)}
+        self._everyone = everyone
+        self._heard = heard
+        self._own = listen
+        self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        self._sock.bind(listen)
+        loop.add(self._sock, READ, self._on_ready)
+
+    def tell(self, peer: int | None, data: bytes) -> None:
+        """Send a message to one proxy, or to every other one."""
+        if len(data) > LONGEST:
+            self._notices.tell("message to peers left out", f"{len(data)} bytes")
+            return
+        if peer is not None:
+            targets = self._peers[peer : peer + 1] if peer >= 0 else []
+        elif self._everyone is not None:
+            targets = [self._everyone]
+        else:
+            targets = [address for address in self._peers if address != self._own]
+        for address in targets:
+            try:
+                self._sock.sendto(data, address)
+            except OSError as error:
+                self._notices.tell("message to peers lost", str(error))
+
+    def _on_ready(self, _: int) -> None:
+        for _turn in range(READS_A_TURN):
+            try:
+                data, sender = self._sock.recvfrom(LONGEST + 1)
+            except BlockingIOError:
+                return
+            except OSError:
+                continue  # an earlier datagram was refused at its target
+            number = self._numbers.get(sender)
+            if number is None or len(data) > LONGEST:
+                self._notices.tell("strange datagram", f"{len(data)} bytes from {sender[0]}")
+            else:
+                self._heard(number, data)
--- /dev/null
+++ b/larchhaven/net/probes.py
@@ -0,0 +1,151 @@
+"""Probes: one kept connection for each instance, asked for its load report."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from larchhaven import interface as api
+from larchhaven.net import lines
+from larchhaven.net.buffers import SHORT_OF, Pool, Stream
+from larchhaven.net.loop import Deadline, Loop
+
+# A probe without an answer in this time has failed: a hung instance takes probes and says nothing.
+PROBE_US = 500_000
+
+Done = Callable[[str, api.Result, int, api.Report | None], None]
+
+
+class _Asker:
+    """The probe connection to one instance."""
+
+    def __init__(self, probes: Probes, host: str, address: tuple[str, int]) -> None:
+        self._probes = probes
+        self._loop = probes.loop
+        self._host = host
+        self.address = address
+        self._stream: Stream | None = None
+        self._connect_limit: Deadline | None = None
+        self._limit: Deadline | None = None
+        self._asked_at = 0
+        self.asking = False
+        self._used = False  # the connection has answered before
+
+    def ask(self) -> None:
+        """Send one probe."""
+        if self.asking:
+            return
+        self.asking = True
+        self._asked_at = self._loop.now
+        self._limit = self._loop.after(PROBE_US, lambda: self._end(api.Result.TIMEOUT))
+        if self._stream is None:
+            self._connect()
+        else:
+            self._stream.write(lines.STATS)
+
+    def _connect(self) -> None:
+        self._used = False
+        try:
+            self._stream = Stream.connect(self._loop, self._probes.pool, self.address, self)
+        except OSError as error:
+            short = error.errno in SHORT_OF
+            result = api.Result.NOT_SENT if short else api.Result.UNREACHABLE
+            self._loop.after(0, lambda: self._end(result))
+            return
+        self._connect_limit = self._loop.after(
+            self._probes.connect_us, lambda: self._end(api.Result.UNREACHABLE)
+        )
+
+    def on_open(self) -> None:
+        """Ask as soon as the connection stands."""
+        self._loop.cancel(self._connect_limit)
+        if self._stream is not None:
+            self._stream.write(lines.STATS)
+
+    def on_room(self) -> None:
+        """Nothing: probes are short."""
+
+    def on_input(self) -> None:
+        """Read the answer."""
+        stream = self._stream
+        if stream is None or stream.inbox is None:
+            return
+        try:
+            line = lines.take_line(stream.inbox)
+        except lines.BadLineError:
+            self._end(api.Result.ERROR)
+            return
+        if line is None:
+            return
+        stream.consume(len(stream.inbox) if stream.inbox is not None else 0)
+        if not self.asking:
+            self.drop()  # it speaks without being asked
+            return
+        result, report = lines.read_probe(line)
+        self._used = True
+        self._end(result, report, keep=True)
+
+    def on_end(self) -> None:
+        """Take the end of the connection."""
+        self._lost()
+
+    def on_broken(self, code: int) -> None:
+        """Take the loss of the connection."""
+        if code in SHORT_OF:
+            self._end(api.Result.NOT_SENT)
+        else:
+            self._lost()
+
+    def _lost(self) -> None:
+        if self.asking and self._used:
+            # An idle connection may have been closed just as the probe was written: a new one tells.
+            self._close()
+            self._connect()
+        else:
+            reached = self._stream is not None and self._connect_limit is not None
+            up = reached and self._connect_limit is not None and self._connect_limit.then is None
+            self._end(api.Result.RESET if up else api.Result.UNREACHABLE)
+
+    def _end(self, result: api.Result, report: api.Report | None = None, keep: bool = False) -> None:
+        if not keep:
+            self._close()
+        if self.asking:
+            self.asking = False
+            self._loop.cancel(self._limit)
+            self._probes.done(self._host, result, self._loop.now - self._asked_at, report)
+
+    def _close(self) -> None:
+        self._loop.cancel(self._connect_limit)
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+    def drop(self) -> None:
+        """Close the connection; a probe under way ends as cancelled."""
+        self._end(api.Result.CANCELLED)
+
+
+class Probes:
+    """The probe connections by host."""
+
+    def __init__(self, loop: Loop, pool: Pool, connect_us: int, done: Done) -> None:
+        self.loop = loop
+        self.pool = pool
+        self.connect_us = connect_us
+        self.done = done
+        self._askers: dict[str, _Asker] = {}
+
+    def probe(self, host: str, address: tuple[str, int]) -> None:
+        """Ask an instance for its report; a probe under way serves."""
+        asker = self._askers.get(host)
+        if asker is not None and asker.address != address:
+            self.drop(host)
+            asker = None
+        if asker is None:
+            asker = self._askers[host] = _Asker(self, host, address)
+        asker.ask()
+
+    def drop(self, host: str) -> None:
+        """Close the connection to an instance that has gone, or is idle by order."""
+        asker = self._askers.pop(host, None)
+        if asker is not None:
+            asker.drop()
--- /dev/null
+++ b/larchhaven/net/relay.py
@@ -0,0 +1,235 @@
+"""Passes lines both ways between a service client and the instance that serves it, until one side ends."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Protocol
+
+from larchhaven import interface as api
+from larchhaven.net import lines
+from larchhaven.net.buffers import LINGER_US, Stream
+from larchhaven.net.loop import Deadline, Loop
+
+# Client lines without an answer are looked at this often; their age is told as a delay.
+LOOK_US = 1_000_000
+# From this age on the connection is told as stalled, and the decision module may move it.
+STALLED_US = 4_000_000
+# At this age it is ended whatever the module does: within 7 s it must be, and looks are a second apart.
+SILENT_MOST_US = 5_500_000
+# An instance that has said its last line is given so long to end the connection by itself.
+LAST_LINE_US = 300_000
+# A move waits so long for the end of the line under way, and goes without a word after that.
+MOVE_WAIT_US = 500_000
+# Times of unanswered lines that are kept; a client that sends more at once is measured on these.
+ASKED_MOST = 64
+
+
+class Session(Protocol):
+    """A connection that stands, as the broker sees it."""
+
+    def move(self) -> None:
+        """Tell the client to come again, and end both sides."""
+
+
+class SessionOwner(Protocol):
+    """Whom a session tells of its life."""
+
+    def session_load(self, token: int, load: float) -> None:
+        """Take the connection's new load, in cores."""
+
+    def session_delay(self, token: int, delay_us: int) -> None:
+        """Take how long an answer took."""
+
+    def session_waits(self, token: int, age_us: int) -> None:
+        """Take how long a line has gone unanswered."""
+
+    def session_stalled(self, token: int, age_us: int) -> None:
+        """Take that a line has gone unanswered so long that the connection should be moved."""
+
+    def session_over(self, token: int, result: api.Result, report: api.Report | None) -> None:
+        """Take how the connection ended."""
+
+
+class _Side:
+    """One side of the relay, as the owner of its stream."""
+
+    def __init__(self, relay: Relay, stream: Stream) -> None:
+        self.relay = relay
+        self.stream = stream
+        self.count = lines.LineCounter()
+        stream.owner = self
+
+    def on_open(self) -> None:
+        """Nothing: the connection stands already."""
+
+    def on_input(self) -> None:
+        """Pass on what came."""
+        self.relay.pass_on(self)
+
+    def on_room(self) -> None:
+        """Go on with what the other side had to keep back."""
+        self.relay.pass_on(self.relay.other(self))
+
+    def on_end(self) -> None:
+        """Pass on the end."""
+        self.relay.on_side_end(self)
+
+    def on_broken(self, code: int) -> None:
+        """Pass on the break."""
+        self.relay.on_side_broken(self)
+
+
+class Relay:
+    """One served connection."""
+
+    def __init__(
+        self, loop: Loop, client: Stream, instance: Stream, up_line: bytes, owner: SessionOwner, token: int
+    ) -> None:
+        self._loop = loop
+        self._owner = owner
+        self._token = token
+        self._client = _Side(self, client)
+        self._instance = _Side(self, instance)
+        self._asked: deque[int] = deque(maxlen=ASKED_MOST)
+        self._look: Deadline | None = None
+        self._closing: Deadline | None = None
+        self._ending: tuple[api.Result, api.Report | None] | None = None  # the instance's last line
+        self._moving = False
+        self._over = False
+        client.write(up_line + lines.END)
+        self.pass_on(self._client)
+        self.pass_on(self._instance)
+        if instance.ended:
+            self.on_side_end(self._instance)
+
+    def other(self, side: _Side) -> _Side:
+        """Return the side across."""
+        return self._instance if side is self._client else self._client
+
+    # Bytes
+
+    def pass_on(self, side: _Side) -> None:
+        """Pass on what has come from one side, as far as the other takes it now."""
+        inbox = side.stream.inbox
+        if inbox is not None and not (self._over and side is self._instance and self._moving):
+            data = bytes(inbox.held())
+            taken = self.other(side).stream.write(data)
+            if taken < len(data):
+                side.stream.pause()  # backpressure: read on when the other side has room
+            if taken:
+                if taken == len(data):
+                    side.stream.consume(taken)
+                else:
+                    inbox.start += taken
+                self._note(side, side.count.feed(data[:taken]))
+        if side.stream.ended and side.stream.inbox is None:
+            self._after_end(side)
+
+    def _note(self, side: _Side, done: list[bytes]) -> None:
+        if self._over:
+            return
+        if side is self._client:
+            if done:
+                self._asked.extend([self._loop.now] * len(done))
+                if self._look is None:
+                    self._look = self._loop.after(LOOK_US, self._look_again)
+            return
+        for line in done:
+            load = lines.read_load(line)
+            if load is not None:
+                self._owner.session_load(self._token, load)
+                continue
+            ending = lines.read_ending(line)
+            if ending is not None:
+                self._ending = ending
+                self._closing = self._closing or self._loop.after(LAST_LINE_US, self._finish_both)
+            elif self._asked:
+                self._owner.session_delay(self._token, self._loop.now - self._asked.popleft())
+        if self._moving and not side.count.midline:
+            self._send_move()
+
+    # Silence
+
+    def _look_again(self) -> None:
+        """Tell of lines without an answer: a hung instance keeps its connections open and says nothing."""
+        self._look = None
+        if self._over or not self._asked:
+            return
+        age = self._loop.now - self._asked[0]
+        if age >= SILENT_MOST_US:
+            self._end_now(api.Result.TIMEOUT)
+            return
+        if age >= STALLED_US:
+            self._owner.session_stalled(self._token, age)
+        elif age >= LOOK_US:
+            self._owner.session_waits(self._token, age)
+        self._look = self._loop.after(max(LOOK_US - age, LOOK_US // 2), self._look_again)
+
+    def _end_now(self, result: api.Result) -> None:
+        self._instance.stream.close(reset=True)
+        if self._client.stream.closed:
+            self._tell_over(result, None)
+            return
+        if not self._instance.count.midline:
+            self._client.stream.write(lines.MOVE)
+        self._client.stream.finish()
+        self._tell_over(result, None)
+
+    # Moves
+
+    def move(self) -> None:
+        """Tell the client to come again, between two lines, and end both sides."""
+        if self._over or self._moving or self._ending is not None:
+            return
+        self._moving = True
+        if self._instance.count.midline:
+            self._closing = self._closing or self._loop.after(MOVE_WAIT_US, self._finish_both)
+        else:
+            self._send_move()
+
+    def _send_move(self) -> None:
+        if self._over:
+            return
+        self._client.stream.write(lines.MOVE)
+        self._tell_over(api.Result.CANCELLED, None)
+        self._finish_both()
+
+    # Ends
+
+    def on_side_end(self, side: _Side) -> None:
+        """Pass on the end of one side after what it sent before."""
+        if side is self._instance:
+            self._tell_over(*(self._ending or (api.Result.RESET, None)))
+        else:
+            self._tell_over(api.Result.CANCELLED, None)
+        self._closing = self._closing or self._loop.after(LINGER_US, self._finish_both)
+        self.pass_on(side)
+
+    def _after_end(self, side: _Side) -> None:
+        if side is self._instance:
+            self._finish_both()
+        else:
+            self._instance.stream.end()
+
+    def on_side_broken(self, side: _Side) -> None:
+        """Pass on a break as a break; after the instance's last line it is only an end."""
+        if side is self._instance and self._ending is not None:
+            self._tell_over(*self._ending)
+            self._finish_both()
+            return
+        self._tell_over(api.Result.RESET if side is self._instance else api.Result.CANCELLED, None)
+        self.other(side).stream.close(reset=True)
+        self._loop.cancel(self._closing)
+
+    def _finish_both(self) -> None:
+        self._tell_over(*(self._ending or (api.Result.CANCELLED, None)))
+        self._loop.cancel(self._closing)
+        self._client.stream.finish()
+        self._instance.stream.finish()
+
+    def _tell_over(self, result: api.Result, report: api.Report | None) -> None:
+        if not self._over:
+            self._over = True
+            self._loop.cancel(self._look)
+            self._asked.clear()
+            self._owner.session_over(self._token, result, report)
--- /dev/null
+++ b/larchhaven/net/slots.py
@@ -0,0 +1,63 @@
+"""Tables of numbered slots, whose generations keep a stale token from reaching a slot's next tenant."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+INDEX_BITS = 20
+_INDEX_MASK = (1 << INDEX_BITS) - 1
+
+
+class Slots(Generic[T]):
+    """Items under tokens; a token is the slot's number and the generation of its present tenant."""
+
+    def __init__(self) -> None:
+        self._items: list[T | None] = []
+        self._generations: list[int] = []
+        self._free: list[int] = []
+
+    def __len__(self) -> int:
+        """Count the items held."""
+        return len(self._items) - len(self._free)
+
+    def __iter__(self) -> Iterator[tuple[int, T]]:
+        """Walk over a copy of the tokens and items, so that a step may remove any of them."""
+        held = [
+            (generation << INDEX_BITS | index, item)
+            for index, (generation, item) in enumerate(zip(self._generations, self._items, strict=True))
+            if item is not None
+        ]
+        return iter(held)
+
+    def add(self, item: T) -> int:
+        """Take in an item and return its token."""
+        if self._free:
+            index = self._free.pop()
+            self._items[index] = item
+        else:
+            index = len(self._items)
+            if index > _INDEX_MASK:
+                raise OverflowError("the table of slots is full")
+            self._items.append(item)
+            self._generations.append(1)
+        return self._generations[index] << INDEX_BITS | index
+
+    def get(self, token: int) -> T | None:
+        """Return the item, or None when its slot has been freed or reused since."""
+        index = token & _INDEX_MASK
+        if index >= len(self._items) or self._generations[index] != token >> INDEX_BITS:
+            return None
+        return self._items[index]
+
+    def remove(self, token: int) -> T | None:
+        """Free the slot and return its item; a stale token frees nothing."""
+        item = self.get(token)
+        if item is not None:
+            index = token & _INDEX_MASK
+            self._items[index] = None
+            self._generations[index] += 1
+            self._free.append(index)
+        return item
--- a/larchhaven/wire.py
+++ b/larchhaven/wire.py
@@ -4,7 +4,7 @@
 
 import base64
 import binascii
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import TypeVar
 
 from larchhaven import interface as api
@@ -271,13 +271,8 @@
 class _Options:
     """Typed reads of path=value pairs."""
 
-    def __init__(self, text: str) -> None:
-        self.pairs: dict[str, str] = {}
-        for pair in text.split(" "):
-            path, equals, value = pair.partition("=")
-            if pair and not equals:
-                raise WireError(f"expected options as path=value pairs, not {pair!r}")
-            self.pairs[path] = value
+    def __init__(self, pairs: Mapping[str, str]) -> None:
+        self.pairs = pairs
 
     def text(self, path: str, default: str | None = None) -> str:
         """Read a value; an empty or absent one is its default, or an error without one."""
@@ -321,7 +316,45 @@
 
 def decode_settings(text: str) -> api.Settings:
     """Turn the options of an open_instance line into Settings."""
-    o = _Options(text)
+    pairs: dict[str, str] = {}
+    for pair in text.split(" "):
+        path, equals, value = pair.partition("=")
+        if pair and not equals:
+            raise WireError(f"expected options as path=value pairs, not {pair!r}")
+        pairs[path] = value
+    return _settings(_Options(pairs))
+
+
+def decode_nested_settings(settings: Mapping[str, object]) -> api.Settings:
+    """Turn the same settings, as nested objects and lists, into Settings."""
+    pairs: dict[str, str] = {}
+    for name, value in settings.items():
+        _flatten(name, value, pairs)
+    return _settings(_Options(pairs))
+
+
+def _flatten(path: str, value: object, pairs: dict[str, str]) -> None:
+    """Write a nested value as the wire writes it, as path=value pairs."""
+    if isinstance(value, Mapping):
+        for name, inner in value.items():
+            _flatten(f"{path}.{name}", inner, pairs)
+    elif isinstance(value, list) and any(isinstance(item, Mapping) for item in value):
+        pairs[f"{path}.count"] = str(len(value))
+        for i, item in enumerate(value):
+            _flatten(f"{path}.{i}", item, pairs)
+    elif isinstance(value, list):
+        pairs[path] = ",".join(_plain(item) for item in value)
+    else:
+        pairs[path] = _plain(value)
+
+
+def _plain(value: object) -> str:
+    if value is None or isinstance(value, bool):
+        return {None: "null", True: "true", False: "false"}[value]
+    return str(value).replace(" ", "_").replace(",", "_")
+
+
+def _settings(o: _Options) -> api.Settings:
     aims = o.items("family_info.message_aim")
     quotas = o.items("family_info.tenant_quota_connections")
     classes = []
