Count input in before a lingering stream drops it; keep one fault from ending all

Checked: the stream had been finished, so its input is dropped; ruled out the module (not on the trace) and the pool (the buffer was the stream's own). At fault: Stream._read dropped held + new bytes without having counted the new ones into the buffer, whose start then passed its end. Also found by the new tests over sockets: discovery's connection was closed after every answer (should_keep_alive is only known within on_message_complete), and a command that every ready instance had turned away was held until its deadline; it is now refused at once. The loop now writes out an unexpected error and goes on.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -258,6 +258,9 @@
         server = self._holder(conn)
         if server is None and conn.at is None and self.now >= self.gate_at:
             server = self._choose(conn)
+        if server is None and conn.tried and all(entry[2] in conn.tried for entry in self.ranking):
+            self._give_up(conn)  # nobody is left to wait for
+            return
         if server is None:
             wait = max(HOLD_SHARE * aim, self.gate_at - self.now) * (1 + self.rng.random() / 2)
             self._hold(conn, min(wait, left - 2 * limits.tick_us))
--- a/larchhaven/net/buffers.py
+++ b/larchhaven/net/buffers.py
@@ -180,10 +180,11 @@
             else:
                 self.owner.on_end()
             return
+        self.inbox.end += count
         if self._deaf:
-            self.consume(len(self.inbox) + count)
+            # The new bytes are counted in first: a buffer that started past its end once ended the process.
+            self.consume(len(self.inbox))
             return
-        self.inbox.end += count
         self.owner.on_input()
 
     # Writing
--- a/larchhaven/net/discovery.py
+++ b/larchhaven/net/discovery.py
@@ -134,6 +134,7 @@
         self._calling = False
         self._open = False
         self._done = False
+        self._keep = False
         self._called_at = -CALL_GAP_US
         self._limit: Deadline | None = None
         self._next: Deadline | None = None
@@ -209,7 +210,7 @@
         self._loop.cancel(self._limit)
         self._calling = self._whole = False
         self._seq = told.seq
-        if not parser.should_keep_alive():
+        if not self._keep:
             self._hang_up()
         self._told(told)
         if self._watching:
@@ -228,6 +229,8 @@
     def on_message_complete(self) -> None:
         """Note that the answer is whole."""
         self._done = True
+        # Only known now: once the message is over, the parser has forgotten it.
+        self._keep = self._parser is not None and self._parser.should_keep_alive()
 
     # The stream's owner
 
--- a/larchhaven/net/loop.py
+++ b/larchhaven/net/loop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import logging
 import selectors
 import signal
 import socket
@@ -11,10 +12,14 @@
 
 from larchhaven.net.slots import Slots
 
+_log = logging.getLogger("larchhaven")
+
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
 # Cancelled deadlines are dropped when they come due; with more of them than this and than live ones, at once.
 _DEAD_MOST = 1_000
+# Unexpected errors are written out at most once in this time.
+_QUIET_US = 1_000_000
 
 
 class Deadline:
@@ -55,6 +60,7 @@
         self._again = False
         self._running = False
         self._signals: dict[int, Callable[[], None]] = {}
+        self._quiet_until = 0
         self.now = time.monotonic_ns() // 1000
         self.turn_end: Callable[[], None] = lambda: None
 
@@ -149,14 +155,23 @@
             # A callback before this one may have closed the channel, and its number may be in use again.
             channel = self._channels.get(key.data)
             if channel is not None:
-                channel.then(events & channel.events)
+                self._guard(channel.then, events & channel.events)
         while self._heap and (self._heap[0][0] <= self.now or self._heap[0][2].then is None):
             then = heapq.heappop(self._heap)[2].then
             if then is None:
                 self._dead = max(self._dead - 1, 0)
             else:
-                then()
-        self.turn_end()
+                self._guard(then)
+        self._guard(self.turn_end)
+
+    def _guard(self, then: Callable[..., None], *given: int) -> None:
+        """Keep a mistake in the handling of one connection from ending all the others."""
+        try:
+            then(*given)
+        except Exception:
+            if self.now >= self._quiet_until:
+                self._quiet_until = self.now + _QUIET_US
+                _log.exception("unexpected error")
 
     def _patience(self) -> float | None:
         if self._again:
--- /dev/null
+++ b/tests/rig.py
@@ -0,0 +1,153 @@
+"""Starts the real program as a process; the tests play its clients, its instances and discovery."""
+
+from __future__ import annotations
+
+import copy
+import json
+import os
+import re
+import select
+import socket
+import struct
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+PATIENCE = 20.0  # seconds until a test gives up; none measures how long something takes
+ROOT = Path(__file__).parent.parent
+
+SETTINGS: dict[str, Any] = {
+    "contract": {
+        "answer_slack": 20000, "ask_within": 1000000, "cold": 7100000, "cold_from": 0.33,
+        "stop_sending_within": 3000000, "tip_after": 1500000, "tip_multiple": 2.5,
+    },
+    "discovery": "automatic", "family": "conn", "index": 0, "instances": 1, "kinds": ["k"], "tick": 5000,
+    "family_info": {
+        "message_aim": [100000.0, None], "mode": "pass", "park": 6000000, "tells_delay": True,
+        "tells_load": True, "tenant_quota_connections": [], "groups": True, "hint": "",
+    },
+    "parties": [], "prices": {"moves": 0.016, "probe": 0.002}, "weights": "nominal", "zone": 0,
+    "policy_limits": {
+        "cancel": True, "connect_timeout": 250000, "max_retry_after": 1500000, "most_tries": 3,
+        "parallel_tries": False, "probes": False, "retry_after": False, "may_tell": True,
+    },
+    "report": {"fields": ["x0"], "how": "pull"}, "stages": ["s"], "zones": ["here"],
+    "services": [
+        {"aim": 500000, "deadline": 2000000, "name": name, "repeat": "idempotent", "stream": True,
+         "group": "all", "window": 5000000, "credit": 1.0, "late_worth": 0.0}
+        for name in ("chat", "exam")
+    ],
+}  # fmt: skip
+
+
+def listener() -> socket.socket:
+    made = socket.create_server(("127.0.0.1", 0))
+    made.settimeout(PATIENCE)
+    return made
+
+
+def dial(sock: socket.socket) -> str:
+    return "{}:{}".format(*sock.getsockname())
+
+
+class Wire:
+    """One end of a connection, read by lines."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.settimeout(PATIENCE)
+        self.file = sock.makefile("rb")
+
+    def send(self, text: str) -> None:
+        self.sock.sendall(text.encode() + b"\r\n")
+
+    def line(self) -> str:
+        """Read a line; an end of the connection is the empty string."""
+        got = self.file.readline()
+        assert not got or got.endswith(b"\r\n")
+        return got.decode().removesuffix("\r\n")
+
+    def reset(self) -> None:
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close()
+
+    def close(self) -> None:
+        self.file.close()
+        self.sock.close()
+
+
+def host(name: str, sock: socket.socket, health: str = "ready", born_ms: int = 0) -> dict[str, Any]:
+    return {
+        "host": name, "dial": dial(sock), "site": "here", "class": "k", "block": 0, "health": health,
+        "share": 1.0, "born_ms": born_ms,
+    }  # fmt: skip
+
+
+class Proxy:
+    """The program as a process, with so many instances that the test plays."""
+
+    def __init__(self, folder: Path, instances: int = 2, **settings: Any) -> None:
+        self.instances = [listener() for _ in range(instances)]
+        self.discovery = listener()
+        config = self.config(**settings)
+        path = folder / "config.json"
+        path.write_text(json.dumps(config))
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "larchhaven"],
+            cwd=ROOT,
+            env={**os.environ, "EDGE_CONFIG": str(path)},
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+        assert self.process.stderr is not None
+        found = None
+        while found is None:
+            line = self.process.stderr.readline()
+            assert line, "the program did not start"
+            found = re.search(r"listens at (.*):(\d+)", line)
+        self.address = found.group(1), int(found.group(2))
+
+    def config(self, **settings: Any) -> dict[str, Any]:
+        merged = copy.deepcopy(SETTINGS)
+        for name, value in settings.items():
+            merged[name] = {**merged[name], **value} if isinstance(value, dict) else value
+        hosts = [host(f"s{i}", sock) for i, sock in enumerate(self.instances)]
+        return {
+            "name": "n0", "listen": "127.0.0.1:0", "discovery": dial(self.discovery), "seed": "8c1f30d2",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": merged,
+            "known": {"seq": 7, "whole": True, "hosts": hosts},
+        }  # fmt: skip
+
+    def client(self, text: str | None = None) -> Wire:
+        wire = Wire(socket.create_connection(self.address))
+        if text is not None:
+            wire.send(text)
+        return wire
+
+    def accept(self, *listeners: socket.socket) -> Wire:
+        """Take the next connection at any of the instances."""
+        ready, _, _ = select.select(listeners or self.instances, [], [], PATIENCE)
+        assert ready, "no connection came"
+        return Wire(ready[0].accept()[0])
+
+    def opened(self, fields: str = "c=chat,d=2000,g=ab") -> tuple[Wire, Wire]:
+        """Bring up a connection; return the client's and the instance's end."""
+        client = self.client(opening(fields))
+        instance = self.accept()
+        assert instance.line().startswith("OPEN ")
+        instance.send("UP r1")
+        assert client.line() == "UP r1"
+        return client, instance
+
+    def close(self) -> str:
+        """End the program and return the rest of its log."""
+        self.process.kill()
+        _, log = self.process.communicate()
+        for sock in (*self.instances, self.discovery):
+            sock.close()
+        return str(log)
+
+
+def opening(fields: str) -> str:
+    return f"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 {fields}"
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -158,3 +158,11 @@
     late = START + 5 + b.settings.drain_grace_us
     again = api.Arrival(3, 0, 1_200_000, key=42, load=0.01, midflow=True)
     assert [s.server for s in of(api.Send, b.handle(late, [again]))] == ["s1"]
+
+
+def test_request_that_every_server_turned_away_is_refused_at_once() -> None:
+    """Guards against a client held to its deadline when nobody is left that could serve it."""
+    b = balancer(2)
+    first = of(api.Send, b.handle(START, [arrival(1)]))[0].server
+    second = of(api.Send, b.handle(START + 1, [ended(1, 0, first, api.Result.FULL)]))[0].server
+    assert of(api.Refuse, b.handle(START + 2, [ended(1, 1, second, api.Result.FULL)])) == [api.Refuse(1)]
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,326 @@
+"""The real program as a process, spoken to as by clients, instances and discovery."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.rig import PATIENCE, ROOT, Proxy, Wire, host, opening
+
+PLAIN = "c=chat,d=2000,g=ab"
+
+
+@pytest.fixture
+def proxy(tmp_path: Path, request: pytest.FixtureRequest) -> Iterator[Proxy]:
+    made = Proxy(tmp_path, **getattr(request, "param", {}))
+    yield made
+    alive = made.process.poll() is None or made.process.returncode == 0
+    log = made.close()
+    assert alive and "Traceback" not in log, log
+
+
+def test_ping_is_answered_and_a_first_line_may_follow(proxy: Proxy) -> None:
+    client = proxy.client("PING")
+    assert client.line() == "PONG"
+    client.send("PING")
+    assert client.line() == "PONG"
+    client.send(opening(PLAIN))
+    assert proxy.accept().line().startswith("OPEN 9b1f03aa5c7e2d41 ")
+
+
+def test_first_line_is_forwarded_with_only_d_changed_and_lines_pass_both_ways(proxy: Proxy) -> None:
+    client = proxy.client(opening("c=chat,d=2000,g=ab,x-new=5"))
+    instance = proxy.accept()
+    head, _, fields = instance.line().rpartition(" ")
+    assert head == "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655"
+    pairs = [pair.split("=") for pair in fields.split(",")]
+    assert [pair for pair in pairs if pair[0] != "d"] == [["c", "chat"], ["g", "ab"], ["x-new", "5"]]
+    assert pairs[1][0] == "d" and 0 < int(pairs[1][1]) <= 2000
+    instance.send("UP some receipt")
+    assert client.line() == "UP some receipt"
+    for number in range(3):
+        client.send(f"question {number}")
+        assert instance.line() == f"question {number}"
+        instance.send("LOAD 120000")
+        instance.send(f"answer {number}")
+        assert [client.line(), client.line()] == ["LOAD 120000", f"answer {number}"]
+
+
+def test_split_and_pipelined_bytes_reach_the_instance_whole(proxy: Proxy) -> None:
+    client = proxy.client()
+    for byte in f"{opening(PLAIN)}\r\n".encode():
+        client.sock.sendall(bytes([byte]))
+    client.sock.sendall(b"early\r\nbin\x00\xff\xfe")
+    instance = proxy.accept()
+    assert instance.line().startswith("OPEN ")
+    instance.sock.sendall(b"U")
+    instance.sock.sendall(b"P 1\r\nhi\r\n")
+    assert [client.line(), client.line()] == ["UP 1", "hi"]
+    assert instance.file.read(13) == b"early\r\nbin\x00\xff\xfe"
+
+
+def test_large_flow_against_a_slow_reader_comes_through_whole(proxy: Proxy) -> None:
+    """Guards the backpressure: what one side does not take must neither be lost nor pile up."""
+    client, instance = proxy.opened()
+    block = bytes(range(256)) * 16
+    instance.sock.settimeout(0.3)
+    sent = 0
+    with contextlib.suppress(TimeoutError):  # the proxy takes no more: the client does not read yet
+        while sent < 20_000 * len(block):
+            sent += instance.sock.send(block)
+    assert sent < 20_000 * len(block)
+    instance.sock.settimeout(PATIENCE)
+    got = client.file.read(sent)
+    assert got == (block * (sent // len(block) + 1))[:sent]
+
+
+@pytest.mark.parametrize("answer", ["BUSY", "BUSY x0=0.9", "ERR", "what", "end", "reset", "9" * 5000])
+def test_failed_execution_is_ended_before_the_next_begins(proxy: Proxy, answer: str) -> None:
+    client = proxy.client(opening(PLAIN))
+    first = proxy.accept()
+    first.line()
+    if answer == "end":
+        first.close()
+    elif answer == "reset":
+        first.reset()
+    else:
+        first.send(answer)
+    second = proxy.accept()
+    if answer not in ("end", "reset"):
+        with contextlib.suppress(ConnectionResetError):
+            assert first.file.read() == b""
+    assert second.line().startswith("OPEN 9b1f03aa5c7e2d41 ")
+    second.send("UP 2")
+    assert client.line() == "UP 2"
+
+
+@pytest.mark.parametrize("proxy", [{"instances": 0}], indirect=True)
+def test_command_without_an_instance_is_refused(proxy: Proxy) -> None:
+    client = proxy.client(opening("c=chat,d=300,g=ab"))
+    assert client.line().startswith("BUSY")
+    assert client.line() == ""
+
+
+def test_all_instances_refuse_and_the_client_hears_at_once(proxy: Proxy) -> None:
+    """Guards against a given-up command that is held back until its deadline, here a minute away."""
+    client = proxy.client(opening("c=chat,d=60000,g=ab"))
+    for _ in proxy.instances:
+        instance = proxy.accept()
+        instance.line()
+        instance.send("BUSY")
+    assert client.line().startswith("BUSY")
+
+
+def test_silent_instance_costs_no_more_than_the_deadline(proxy: Proxy) -> None:
+    client = proxy.client(opening("c=chat,d=300,g=ab"))
+    waiting = proxy.accept()
+    assert client.line().startswith("BUSY")
+    assert client.line() == ""
+    waiting.close()
+
+
+@pytest.mark.parametrize(
+    "first",
+    [
+        b"HELLO\r\n", b"\r\n", b"OPEN 1 2\r\n", b"OPEN 1 2 c=none,d=1\r\n", b"OPEN 1 zz c=chat,d=1\r\n",
+        b"OPEN 1 2 c=chat,d=-5\r\n", b"OPEN 1 2 c=chat,d=x\r\n", b"OPEN 1 2 c\r\n", b"\x00\xff\xfe\r\n",
+        b"OPEN 1 2 c=chat,d=99999999999999999999999999999999999\r\n", b"x" * 4096, b"x" * 20000,
+        b"OPEN 1 2 c=chat,h=nan\r\n", "OPEN 1 2 c=çay,d=5\r\n".encode(), b"STATS\r\n",
+    ],
+)  # fmt: skip
+def test_bad_first_line_gets_one_failed_answer_and_the_end(proxy: Proxy, first: bytes) -> None:
+    client = proxy.client()
+    client.sock.sendall(first)
+    assert client.line() == "ERR"
+    assert client.line() == ""
+    assert proxy.client("PING").line() == "PONG"
+
+
+@pytest.mark.parametrize("last", ["BYE", "BYE x0=0.5", "MOVE"])
+def test_last_line_and_end_of_the_instance_reach_the_client(proxy: Proxy, last: str) -> None:
+    client, instance = proxy.opened()
+    instance.send(last)
+    instance.close()
+    assert [client.line(), client.line()] == [last, ""]
+
+
+def test_last_line_ends_the_connection_even_if_the_instance_does_not(proxy: Proxy) -> None:
+    client, instance = proxy.opened()
+    instance.send("MOVE")
+    assert [client.line(), client.line()] == ["MOVE", ""]
+    assert instance.line() == ""
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+@pytest.mark.parametrize("who", ["client", "instance"])
+def test_one_side_s_end_is_passed_on_in_the_same_way(proxy: Proxy, who: str, how: str) -> None:
+    client, instance = proxy.opened()
+    leaving, left = (client, instance) if who == "client" else (instance, client)
+    leaving.sock.sendall(b"last words\r\nhalf")
+    assert left.line() == "last words"
+    if how == "end":
+        leaving.close()
+        assert left.file.read() == b"half"
+    else:
+        assert left.file.read(4) == b"half"
+        leaving.reset()
+        with pytest.raises(ConnectionResetError):
+            left.file.read()
+
+
+def test_client_that_leaves_early_ends_its_execution(proxy: Proxy) -> None:
+    client = proxy.client(opening(PLAIN))
+    instance = proxy.accept()
+    instance.line()
+    client.close()
+    assert instance.line() == ""
+
+
+def test_pinned_connection_goes_to_its_instance_only(proxy: Proxy) -> None:
+    for number in (1, 0, 1):
+        client = proxy.client(opening(f"{PLAIN},at=s{number}"))
+        instance = proxy.accept(proxy.instances[number])
+        assert instance.line().endswith(f"at=s{number}")
+        instance.send("UP 3")
+        assert client.line() == "UP 3"
+
+
+def test_silent_connection_is_moved(proxy: Proxy) -> None:
+    """Guards against connections that sit on a hung instance, which keeps them open and says nothing."""
+    client, instance = proxy.opened()
+    client.send("are you there")
+    assert instance.line() == "are you there"
+    assert [client.line(), client.line()] == ["MOVE", ""]
+    assert instance.line() == ""
+
+
+def answer_watch(wire: Wire, body: str, status: str = "200 OK") -> str:
+    request = wire.line()
+    while wire.line():
+        pass
+    wire.sock.sendall(f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+    return request
+
+
+@pytest.mark.parametrize("proxy", [{"discovery": "subscribe"}], indirect=True)
+def test_watch_is_renewed_and_its_news_are_heeded(proxy: Proxy) -> None:
+    discovery = Wire(proxy.discovery.accept()[0])
+    drains = host("s0", proxy.instances[0], "draining")
+    told = json.dumps({"seq": 8, "whole": False, "hosts": [drains]})
+    assert answer_watch(discovery, told).startswith("GET /v1/endpoints?from=7&hold_ms=")
+    assert discovery.line().startswith("GET /v1/endpoints?from=8&hold_ms=")
+    while discovery.line():
+        pass
+    clients = [proxy.client(opening(PLAIN)) for _ in range(6)]
+    for _ in clients:
+        assert proxy.accept(proxy.instances[1]).line()
+    whole = json.dumps({"seq": 9, "whole": True, "hosts": [host("s0", proxy.instances[0])]})
+    discovery.sock.sendall(f"HTTP/1.1 200 OK\r\nContent-Length: {len(whole)}\r\n\r\n{whole}".encode())
+    assert discovery.line().startswith("GET /v1/endpoints?from=9&hold_ms=")
+    client = proxy.client(opening(f"{PLAIN},at=s0"))
+    assert proxy.accept(proxy.instances[0]).line()
+    client.close()
+
+
+@pytest.mark.parametrize(
+    ("body", "status"),
+    [
+        ("", "503 Service Unavailable"), ("{", "200 OK"), ('{"seq":"x","hosts":[]}', "200 OK"),
+        ('{"seq":8,"hosts":[{"host":1}]}', "200 OK"), ("\xff\x00", "200 OK"), ("", "what is this"),
+    ],
+)  # fmt: skip
+@pytest.mark.parametrize("proxy", [{"discovery": "subscribe"}], indirect=True)
+def test_bad_answer_of_discovery_is_asked_again_and_the_old_list_stays(
+    proxy: Proxy, body: str, status: str
+) -> None:
+    answer_watch(Wire(proxy.discovery.accept()[0]), body, status)
+    again = Wire(proxy.discovery.accept()[0])
+    assert again.line().startswith("GET /v1/endpoints?from=7&hold_ms=")
+    again.reset()
+    client = proxy.client(opening(PLAIN))
+    assert proxy.accept().line()
+    client.close()
+    assert Wire(proxy.discovery.accept()[0]).line()
+
+
+@pytest.mark.parametrize("proxy", [{"instances": 1, "policy_limits": {"probes": True}}], indirect=True)
+@pytest.mark.parametrize("answer", ["PONG x0=0.4,util=0.3,qps=9", "ERR", "BUSY", "NO", "\x00", "end"])
+def test_any_answer_to_a_probe_lets_the_command_go_on(proxy: Proxy, answer: str) -> None:
+    client = proxy.client(opening(PLAIN))
+    probe = proxy.accept()
+    assert probe.line() == "STATS"
+    if answer == "end":
+        probe.close()
+    else:
+        probe.send(answer)
+    instance = proxy.accept()
+    assert instance.line().startswith("OPEN ")
+    instance.send("UP 1")
+    assert client.line() == "UP 1"
+
+
+def test_stop_serves_what_still_comes_and_keeps_what_stands(proxy: Proxy) -> None:
+    client, instance = proxy.opened()
+    proxy.process.send_signal(signal.SIGTERM)
+    late, late_instance = proxy.opened()
+    client.send("still here")
+    assert instance.line() == "still here"
+    for end in (client, late):
+        end.close()
+    assert [instance.line(), late_instance.line()] == ["", ""]
+    instance.close()
+    late_instance.close()
+    assert proxy.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize("proxy", [{"family_info": {"mode": "proxy", "park": 0}}], indirect=True)
+def test_stop_moves_what_stands_where_connections_end_at_the_proxy(proxy: Proxy) -> None:
+    ends = [proxy.opened() for _ in range(4)]
+    proxy.process.send_signal(signal.SIGTERM)
+    assert [[client.line(), client.line()] for client, _ in ends] == [["MOVE", ""]] * 4
+    assert proxy.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize("proxy", [{"instances": 1}], indirect=True)
+def test_accepting_rests_while_descriptors_are_short_and_goes_on(proxy: Proxy) -> None:
+    """Guards against a loop that spins or dies when no descriptor is left for one more client."""
+    held = [proxy.client() for _ in range(920)]
+    client = proxy.client("PING")
+    for wire in held:
+        wire.close()
+    assert client.line() == "PONG"
+
+
+@pytest.mark.parametrize(
+    ("config", "told"),
+    [
+        (None, "EDGE_CONFIG is not set"), ("missing", "cannot be read"), ("{", "not as it should be"),
+        ('{"listen":"127.0.0.1:0"}', "settings"), ('{"settings":{},"seed":"1"}', "settings"),
+    ],
+)  # fmt: skip
+def test_bad_configuration_is_one_plain_line(tmp_path: Path, config: str | None, told: str) -> None:
+    path = tmp_path / "config.json"
+    environment = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+    if config is not None:
+        environment["EDGE_CONFIG"] = str(path)
+        if config != "missing":
+            path.write_text(config)
+    done = subprocess.run(
+        [sys.executable, "-m", "larchhaven"], cwd=ROOT, env=environment, capture_output=True, text=True
+    )
+    assert done.returncode == 2
+    assert told in done.stderr and done.stderr.count("\n") == 1
+
+
+def test_no_address_but_the_given_one_is_listened_on(proxy: Proxy) -> None:
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.2", proxy.address[1]))
