Let refusals end: probe the oldest report on a refusal, weigh the mean by capacity

At fault: _on_arrival (the branch of _refuses), and _mean, in which a full small server counted as much as a large one.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -178,7 +178,7 @@
         self.densities: deque[float] = deque(maxlen=DENSITIES)
         self.tenant_open = [0] * len(settings.tenants)
         self.ratio_sum = 0.0
-        self.ratio_count = 0
+        self.ratio_weight = 0.0
         self.waiting: dict[str, list[Conn]] = {}  # requests that wait for a probe of this server
         spend = PROBE_SPEND / settings.prices.probe if settings.prices.probe > 0 else PROBES_MOST
         self.probes_each = min(max(spend, PROBES_LEAST), PROBES_MOST) if settings.can_probe else 0
@@ -226,6 +226,7 @@
             self._place(conn)
         elif self._refuses(conn, event.tenant):
             self._give_up(conn)
+            self._refresh()
         elif self.now < self.gate_at:
             self._place(conn)
         else:
@@ -503,7 +504,9 @@
         server.state, server.zone, server.cell = entry.state, entry.zone, entry.cell
         if entry.state is State.GONE:
             self._forget_report(server)
-        server.weight = max(entry.weight, 1e-3)
+        if server.weight != max(entry.weight, 1e-3):
+            self._forget_report(server)
+            server.weight = max(entry.weight, 1e-3)
         if restarted:
             server.started_at = entry.started_at
             self._forget_report(server)
@@ -522,10 +525,7 @@
         for server in (
             list(dict.fromkeys(self.rng.choices(near, shares, k=2 * looks)))[:looks] if looks else ()
         ):
-            self.probe_credit -= 1
-            if server.id not in self.waiting:
-                self.waiting[server.id] = []
-                self.actions.append(api.Probe(server.id))
+            self._probe(server)
             self.waiting[server.id].append(conn)
             conn.looks += 1
         if conn.looks:
@@ -533,6 +533,22 @@
         else:
             self._place(conn)
 
+    def _refresh(self) -> None:
+        """Probe the server with the oldest report, since a refused request looks at none.
+
+        Refusals rest on reports. Where nothing is placed nothing was probed either: a fleet once reported as
+        full stayed so to this instance, and it refused everybody long after the jam was over.
+        """
+        idle = [e[2] for e in self.ranking if e[2].id not in self.waiting and e[2].ejected_until <= self.now]
+        if idle and self.probe_credit >= 1:
+            self._probe(min(idle, key=lambda server: server.report_at))
+
+    def _probe(self, server: Server) -> None:
+        self.probe_credit -= 1
+        if server.id not in self.waiting:
+            self.waiting[server.id] = []
+            self.actions.append(api.Probe(server.id))
+
     def _on_probe(self, event: api.ProbeResult) -> None:
         server = self.fleet.get(event.server)
         if server is not None and event.result is Result.OK:
@@ -552,8 +568,9 @@
         if ratio is None:
             return
         ratio = min(ratio, SATURATED)
-        self.ratio_sum += ratio - (server.ratio or 0.0)
-        self.ratio_count += server.ratio is None
+        self._forget_report(server)
+        self.ratio_sum += ratio * server.weight
+        self.ratio_weight += server.weight
         server.ratio, server.report_at = ratio, self.now
         seen = self.now - REPORT_LAG_US - latency_us
         server.recent = [change for change in server.recent if change[0] > seen]
@@ -564,8 +581,8 @@
 
     def _forget_report(self, server: Server) -> None:
         if server.ratio is not None:
-            self.ratio_sum -= server.ratio
-            self.ratio_count -= 1
+            self.ratio_sum -= server.ratio * server.weight
+            self.ratio_weight -= server.weight
             server.ratio = None
 
     def _add_own(self, server: Server, load: float) -> None:
@@ -580,7 +597,7 @@
     # Ratio and choice
 
     def _mean(self) -> float:
-        return self.ratio_sum / self.ratio_count if self.ratio_count else 0.0
+        return self.ratio_sum / self.ratio_weight if self.ratio_weight > 1e-6 else 0.0
 
     def _ratio(self, server: Server) -> float:
         """Estimated load over capacity: the last report, aged, and own changes that it cannot contain."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -166,3 +166,29 @@
     first = of(api.Send, b.handle(START, [arrival(1)]))[0].server
     second = of(api.Send, b.handle(START + 1, [ended(1, 0, first, api.Result.FULL)]))[0].server
     assert of(api.Refuse, b.handle(START + 2, [ended(1, 1, second, api.Result.FULL)])) == [api.Refuse(1)]
+
+
+def test_refusals_end_when_the_jam_is_over() -> None:
+    """Guards against refusals that feed themselves: refused requests probed nobody, and old reports stood."""
+    b = balancer(3, can_probe=True)
+    b.handle(START, [report(i, 0.95) for i in range(3)])
+    probed: set[str] = set()
+    for request in range(9):
+        now = START + (request + 1) * 100_000
+        actions = b.handle(now, [arrival(request)])
+        assert len(of(api.Refuse, actions)) == 1
+        for probe in of(api.Probe, actions):
+            probed.add(probe.server)
+            b.handle(now + 1, [api.ProbeResult(probe.server, api.Result.OK, 1, api.Report(ratio=0.95))])
+    assert probed == {"s0", "s1", "s2"}
+    b.handle(START + 2_000_000, [report(i, 0.2) for i in range(3)])
+    assert of(api.Refuse, b.handle(START + 2_000_001, [arrival(99)])) == []
+
+
+def test_fleet_is_as_full_as_its_capacity_not_as_its_servers() -> None:
+    """Guards against refusals because of small servers that are full: a plain mean once counted all alike."""
+    b = balancer(0)
+    small = [api.ServerEntry(f"s{i}", weight=0.5) for i in range(3)]
+    b.handle(START, [api.FleetList(api.ListKind.COMPLETE, 2, (*small, api.ServerEntry("s3", weight=8.0)))])
+    b.handle(START, [report(0, 0.95), report(1, 0.95), report(2, 0.95), report(3, 0.2)])
+    assert of(api.Refuse, b.handle(START + 1, [arrival(1)])) == []
