Move clients off a draining server in good time, paced and jittered

Seen: the module moved connections off jams only; those on a draining server stayed until it left and cut them off, which the users do not accept. Checked: the list's change is handed over (_list_entry) and told_at kept, but nothing looked at the server's connections; ruled out the relay, which sends MOVE when told. At fault: _list_entry, and _on_established for those that come up later. Each connection is now moved at a random time within the grace of the drain, or slower where that is more than four times the usual arrivals, at most twice the grace. Tests also cover stalled, pinned and leaving.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -12,6 +12,7 @@
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
+from functools import partial
 
 from larchhaven import interface as api
 from larchhaven.interface import Effect, ListKind, Result, Scope, State
@@ -71,6 +72,10 @@
 MOVE_SPEND = 0.01
 # Moves show in reports only after the lag, and the moved clients come again only after a while.
 RELIEF_REST = 3
+# Clients of a draining server are moved within the grace of its drain, or, so that the servers left are not
+# flooded, at most so many times as fast as new ones usually come, but within so many times the grace.
+DRAIN_RUSH = 4.0
+DRAIN_MOST = 2.0
 # A report above this is of a jam, where ratios run to many times the load; it counts as this much.
 SATURATED = 2.0
 # Arrivals of the least worth for their load are refused from the first of these ratios of the whole fleet on,
@@ -354,6 +359,8 @@
             if conn.server is not None:
                 conn.server.eject_span = 0
                 conn.server.conns[conn.id] = conn
+                if conn.server.state is State.DRAINING:
+                    self._clear(conn.server, [conn])
             self._count_tenant(conn, 1)
 
     def _on_ended(self, event: api.AttemptEnded) -> None:
@@ -420,12 +427,28 @@
         if conn is not None and conn.flows and not conn.done and conn.out == event.attempt:
             self._move(conn)
 
+    def _clear(self, server: Server, conns: Sequence[Conn]) -> None:
+        """Move connections off a draining server before it leaves and cuts them off.
+
+        Each goes at a time of its own within the span: instances that learn of a drain together, and all the
+        clients of one server, must not come to the others at once. Its own polite ends only help.
+        """
+        self._drop_arrivals()
+        grace, usual = self.settings.drain_grace_us, max(len(self.arrivals), 1) / RATE_SPAN_US
+        span = min(max(len(server.conns) / (DRAIN_RUSH * usual), grace), DRAIN_MOST * grace)
+        for conn in conns:
+            self._after(self.rng.random() * span, partial(self._clear_one, conn))
+
+    def _clear_one(self, conn: Conn) -> None:
+        if conn.server is not None and conn.server.state is State.DRAINING:
+            self._move(conn)
+
     def _on_leaving(self, event: api.Leaving) -> None:
         """Move every connection in good time, spread evenly so that the servers left are not flooded."""
         for conn in list(self.conns.values()):
             if conn.flows and not conn.done:
                 wait = 0.8 * event.within_us * self.rng.random()
-                self._after(wait, lambda conn=conn: self._move(conn))  # type: ignore[misc]
+                self._after(wait, partial(self._move, conn))
 
     def _move(self, conn: Conn) -> None:
         if conn.flows and not conn.done:
@@ -499,9 +522,12 @@
         if server is None:
             server = self.fleet[entry.server] = Server(entry, self.rng.random())
         restarted = entry.started_at > server.started_at
+        drains = entry.state is State.DRAINING and server.state is not State.DRAINING
         if entry.state is not State.READY and server.state is State.READY:
             server.told_at = self.now
         server.state, server.zone, server.cell = entry.state, entry.zone, entry.cell
+        if drains:
+            self._clear(server, list(server.conns.values()))
         if entry.state is State.GONE:
             self._forget_report(server)
         if server.weight != max(entry.weight, 1e-3):
@@ -679,12 +705,15 @@
 
     def _expected_from_others(self) -> float:
         """Load that the other instances place within the time that a report lags, were they like this one."""
-        while self.arrivals and self.arrivals[0] < self.now - RATE_SPAN_US:
-            self.arrivals.popleft()
+        self._drop_arrivals()
         # The arrival in hand says nothing of the rate; with no other, some are still to be expected.
         placed = max(len(self.arrivals) - 1, 0.5) * REPORT_LAG_US / RATE_SPAN_US * self.mean_load
         return (self.settings.instances - 1) * placed
 
+    def _drop_arrivals(self) -> None:
+        while self.arrivals and self.arrivals[0] < self.now - RATE_SPAN_US:
+            self.arrivals.popleft()
+
     def _choose(self, conn: Conn) -> Server | None:
         near, shares = self._band(conn)
         return self.rng.choices(near, shares)[0] if near else None
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Iterable
 
 from larchhaven import interface as api
+from larchhaven.choice import Balancer
 from tests.world import START, arrival, balancer, ended, of, report
 
 
@@ -192,3 +194,87 @@
     b.handle(START, [api.FleetList(api.ListKind.COMPLETE, 2, (*small, api.ServerEntry("s3", weight=8.0)))])
     b.handle(START, [report(0, 0.95), report(1, 0.95), report(2, 0.95), report(3, 0.2)])
     assert of(api.Refuse, b.handle(START + 1, [arrival(1)])) == []
+
+
+def connected(b: Balancer, count: int) -> None:
+    for request in range(count):
+        sent = of(api.Send, b.handle(START + request, [arrival(request, load=0.01)]))[0]
+        b.handle(START + request, [api.Established(request, 0, sent.server, 500)])
+
+
+def timers_until(b: Balancer, actions: Iterable[object], now: int, end: int) -> list[tuple[int, object]]:
+    """Fire what timers there are, in order, and return what came of them."""
+    due = [(now + t.delay_us, t.token) for t in of(api.SetTimer, actions)]
+    done: list[tuple[int, object]] = []
+    while due and min(due)[0] <= end:
+        due.sort()
+        at, token = due.pop(0)
+        made = b.handle(at, [api.TimerFired(token)])
+        due += [(at + t.delay_us, t.token) for t in of(api.SetTimer, made)]
+        done += [(at, action) for action in made]
+    return done
+
+
+DRAINS = api.FleetList(api.ListKind.CHANGES, 2, (api.ServerEntry("s0", api.State.DRAINING),))
+
+
+def test_clients_of_a_draining_server_are_moved_spread_over_its_grace() -> None:
+    """Guards against connections that are cut off when their server leaves: moves once came off jams only."""
+    b = balancer(1, drain_grace_us=3_000_000)
+    connected(b, 40)
+    moves = [
+        (at, action.request)
+        for at, action in timers_until(b, b.handle(START + 100, [DRAINS]), START + 100, START + 9_000_000)
+        if isinstance(action, api.Move)
+    ]
+    assert sorted(request for _, request in moves) == list(range(40))
+    # Paced and jittered: they take most of the grace, and no tenth of a second sees more than a few.
+    assert moves[-1][0] - moves[0][0] > 1_500_000
+    assert max(sum(at <= other < at + 100_000 for other, _ in moves) for at, _ in moves) <= 8
+
+
+def test_server_that_is_ready_again_keeps_its_clients() -> None:
+    b = balancer(1, drain_grace_us=3_000_000)
+    connected(b, 20)
+    actions = b.handle(START + 100, [DRAINS])
+    b.handle(START + 200, [api.FleetList(api.ListKind.CHANGES, 3, (api.ServerEntry("s0"),))])
+    assert of(api.Move, [a for _, a in timers_until(b, actions, START + 100, START + 9_000_000)]) == []
+
+
+def test_connection_that_comes_up_on_a_draining_server_is_moved_too() -> None:
+    b = balancer(1, drain_grace_us=3_000_000)
+    b.handle(START, [arrival(1)])
+    b.handle(START + 1, [DRAINS])
+    actions = b.handle(START + 2, [api.Established(1, 0, "s0", 500)])
+    done = timers_until(b, actions, START + 2, START + 9_000_000)
+    assert of(api.Move, [a for _, a in done]) == [api.Move(1)]
+
+
+def test_stalled_connection_is_moved_and_its_server_avoided() -> None:
+    """Guards against clients that wait at a hung server, and against new ones sent after them."""
+    b = balancer(4)
+    connected(b, 1)
+    server = next(s.id for s in b.fleet.values() if s.conns)
+    assert of(api.Move, b.handle(START + 5, [api.Stalled(0, 0, server, 4_000_000)])) == [api.Move(0)]
+    assert of(api.Move, b.handle(START + 6, [api.Stalled(0, 0, server, 4_500_000)])) == []
+    for request in range(10, 30):
+        assert of(api.Send, b.handle(START + 7, [arrival(request)]))[0].server != server
+
+
+def test_leaving_instance_moves_all_it_holds_in_time() -> None:
+    b = balancer(2)
+    connected(b, 10)
+    actions = b.handle(START + 100, [api.Leaving(3_000_000)])
+    done = timers_until(b, actions, START + 100, START + 100 + 2_700_000)
+    assert sorted(m.request for m in of(api.Move, [a for _, a in done])) == list(range(10))
+
+
+def test_pinned_connection_goes_to_its_server_or_waits_for_it() -> None:
+    """Guards the connections that were open before: any other server would reset them."""
+    b = balancer(3)
+    b.handle(START, [report(0, 0.1), report(1, 0.9), report(2, 0.1)])
+    pinned = api.Arrival(1, 0, 1_200_000, at="s1")
+    assert [s.server for s in of(api.Send, b.handle(START + 1, [pinned]))] == ["s1"]
+    unknown = api.Arrival(2, 0, 1_200_000, at="s9")
+    actions = b.handle(START + 2, [unknown])
+    assert of(api.Send, actions) == [] and of(api.SetTimer, actions)
