Close gaps found on reading: buffer waiters, lost answers, late stops, idle sessions

Reading the code against the protocol showed the following. At fault: Pool.give woke one waiter, which may have been closed since; Relay._note answered lines in order, so what a hung instance swallowed made each later answer look late; the bounded queue of unanswered lines dropped the oldest, which tells of silence; Balancer._on_leaving moved what stood, not what came up after; a client whose machine vanished was held for ever. Checked: small tests for buffers, lines, tokens, directory and stop moves.

--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 	.venv-dev/bin/ruff check . && .venv-dev/bin/ruff format --check . && .venv-dev/bin/mypy
 
 run: build ## one proxy with the example's configuration
-	EDGE_CONFIG=$${EDGE_CONFIG:-example/config.json} .venv/bin/python -m larchhaven
+	EDGE_CONFIG=$${EDGE_CONFIG:-example/config.json} exec .venv/bin/python -m larchhaven
 
 toy: ## the toy exam servers and discovery that the example's configuration names
 	python3 example/toy_server.py
--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -76,6 +76,8 @@
 # flooded, at most so many times as fast as new ones usually come, but within so many times the grace.
 DRAIN_RUSH = 4.0
 DRAIN_MOST = 2.0
+# An instance that stops moves its connections within this part of the time left to it.
+LEAVE_SHARE = 0.8
 # A report above this is of a jam, where ratios run to many times the load; it counts as this much.
 SATURATED = 2.0
 # Arrivals of the least worth for their load are refused from the first of these ratios of the whole fleet on,
@@ -190,6 +192,7 @@
         self.probe_credit = 0.0
         self.moves_each = min(MOVE_SPEND / max(settings.prices.moves, MOVE_SPEND), 1.0)
         self.move_credit = 0.0
+        self.leave_by = 0  # when this instance stops, the last of its connections is to be moved by then
         self.handlers: dict[type, Callable[..., None]] = {
             api.Arrival: self._on_arrival,
             api.Resumed: self._on_resumed,
@@ -361,6 +364,8 @@
                 conn.server.conns[conn.id] = conn
                 if conn.server.state is State.DRAINING:
                     self._clear(conn.server, [conn])
+            if self.leave_by:
+                self._leave(conn)
             self._count_tenant(conn, 1)
 
     def _on_ended(self, event: api.AttemptEnded) -> None:
@@ -444,11 +449,15 @@
             self._move(conn)
 
     def _on_leaving(self, event: api.Leaving) -> None:
-        """Move every connection in good time, spread evenly so that the servers left are not flooded."""
-        for conn in list(self.conns.values()):
+        """Move every connection in good time, spread evenly so that the servers are not flooded."""
+        self.leave_by = self.now + int(LEAVE_SHARE * event.within_us)
+        for conn in self.conns.values():
             if conn.flows and not conn.done:
-                wait = 0.8 * event.within_us * self.rng.random()
-                self._after(wait, partial(self._move, conn))
+                self._leave(conn)
+
+    def _leave(self, conn: Conn) -> None:
+        left = max(self.leave_by - self.now, 0)
+        self._after(self.rng.random() * left, partial(self._move, conn))
 
     def _move(self, conn: Conn) -> None:
         if conn.flows and not conn.done:
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -107,12 +107,12 @@
         self._settings = settings
         self._balancer = Balancer(settings, seed)
         self._events: list[api.Event] = []
+        self.arrived_at = loop.now  # when the last command came
         self._commands: Slots[Command] = Slots()
         self._notes: dict[str, tuple[int, bool]] = {}  # when the last was sent, and if it was slow
         aims = [c.message_aim_us or c.aim_us for c in settings.classes]
         self._slow_us = min(aims) / 3
         self.outside: Outside
-        self.idle: Callable[[], None] = lambda: None
         self._handlers: dict[type, Callable[[Any], None]] = {
             api.Send: self._do_send,
             api.Refuse: self._do_refuse,
@@ -152,6 +152,7 @@
 
     def take_command(self, client: Client, wants: Wants) -> int:
         """Take over a command, which is owed one final answer."""
+        self.arrived_at = self._loop.now
         wait = wants.wait_us
         if wait is None:
             wait = self._settings.classes[wants.cls].deadline_us
--- a/larchhaven/net/buffers.py
+++ b/larchhaven/net/buffers.py
@@ -6,7 +6,6 @@
 import errno
 import socket
 import struct
-from collections import deque
 from collections.abc import Callable
 from typing import Protocol
 
@@ -49,12 +48,12 @@
 
 
 class Pool:
-    """Buffers that are used again; when all are out, those in want of one wait in line."""
+    """Buffers that are used again; when all are out, those in want of one wait."""
 
     def __init__(self, most: int) -> None:
         self._free: list[Buffer] = []
         self._left = most
-        self._waiting: deque[Callable[[], None]] = deque()
+        self._waiting: list[Callable[[], None]] = []
 
     def take(self) -> Buffer | None:
         """Return an empty buffer, or None when all are out."""
@@ -66,11 +65,13 @@
         return Buffer()
 
     def give(self, buffer: Buffer) -> None:
-        """Take a buffer back and let the longest waiting have its turn."""
+        """Take a buffer back and wake all that wait: one of them may have been closed since."""
         buffer.start = buffer.end = 0
         self._free.append(buffer)
         if self._waiting:
-            self._waiting.popleft()()
+            waiting, self._waiting = self._waiting, []
+            for then in waiting:
+                then()
 
     def wait(self, then: Callable[[], None]) -> None:
         """Call ``then`` when a buffer has come back."""
--- a/larchhaven/net/discovery.py
+++ b/larchhaven/net/discovery.py
@@ -19,6 +19,8 @@
 # without news that does not wait would otherwise be asked for in a tight loop. The limit is 200 ms.
 CALL_GAP_US = 50_000
 BODY_MOST = 4 << 20
+# An instance that is gone is remembered as such for this long; nothing sent to it can be under way then.
+FORGET_US = 60_000_000
 
 _STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
 
@@ -74,6 +76,9 @@
     def take(self, kind: api.ListKind, told: HostList, now: int) -> api.FleetList:
         """Take in a list and turn it into the decision module's event."""
         if kind is not api.ListKind.CHANGES:
+            old = [h for h, at in self._told.items() if h not in self._addresses and at < now - FORGET_US]
+            for host in old:
+                del self._told[host]
             named = {entry.host for entry in told.hosts}
             for host in [h for h in self._addresses if h not in named]:
                 self._leave(host, now, gone=True)
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -20,7 +20,10 @@
 
 # The part of the memory limit that buffers may fill.
 BUFFER_SHARE = 0.25
-# New connections come for a while after the signal to stop: other parties learn of it late.
+# A stop may be made final this long after it was announced.
+LEAVE_MOST_US = 3_000_000
+# New connections come for a while after the signal to stop, as other parties learn of it late; the process
+# stays until none has come for so long.
 ARRIVALS_END_US = 1_000_000
 STOP_LOOK_US = 100_000
 
@@ -61,7 +64,7 @@
             fetch=self._discovery.fetch,
             tell=self._tell,
         )
-        most = self._descriptors() - SPARE_DESCRIPTORS
+        most = max(self._descriptors() - SPARE_DESCRIPTORS, 16)
         self._listener = Listener(loop, pool, broker, notices, config.listen, config.classes, most)
         loop.turn_end = broker.turn
         self._stopping = False
@@ -122,11 +125,13 @@
         _log.info("told to stop")
         settings = self._config.settings
         if not settings.pass_through:
-            self._broker.queue(api.Leaving(max(c.deadline_us for c in settings.classes)))
+            longest = max(c.deadline_us for c in settings.classes)
+            self._broker.queue(api.Leaving(min(longest, LEAVE_MOST_US)))
         self._loop.after(ARRIVALS_END_US, self._leave_when_done)
 
     def _leave_when_done(self) -> None:
-        if self._broker.held():
+        broker = self._broker
+        if broker.held() or self._loop.now < broker.arrived_at + ARRIVALS_END_US:
             self._loop.after(STOP_LOOK_US, self._leave_when_done)
         else:
             self._loop.stop()
--- a/larchhaven/net/probes.py
+++ b/larchhaven/net/probes.py
@@ -29,6 +29,7 @@
         self._asked_at = 0
         self.asking = False
         self._used = False  # the connection has answered before
+        self._standing = False
 
     def ask(self) -> None:
         """Send one probe."""
@@ -43,7 +44,7 @@
             self._stream.write(lines.STATS)
 
     def _connect(self) -> None:
-        self._used = False
+        self._used = self._standing = False
         try:
             self._stream = Stream.connect(self._loop, self._probes.pool, self.address, self)
         except OSError as error:
@@ -58,6 +59,7 @@
     def on_open(self) -> None:
         """Ask as soon as the connection stands."""
         self._loop.cancel(self._connect_limit)
+        self._standing = True
         if self._stream is not None:
             self._stream.write(lines.STATS)
 
@@ -101,9 +103,7 @@
             self._close()
             self._connect()
         else:
-            reached = self._stream is not None and self._connect_limit is not None
-            up = reached and self._connect_limit is not None and self._connect_limit.then is None
-            self._end(api.Result.RESET if up else api.Result.UNREACHABLE)
+            self._end(api.Result.RESET if self._standing else api.Result.UNREACHABLE)
 
     def _end(self, result: api.Result, report: api.Report | None = None, keep: bool = False) -> None:
         if not keep:
--- a/larchhaven/net/relay.py
+++ b/larchhaven/net/relay.py
@@ -16,6 +16,9 @@
 STALLED_US = 4_000_000
 # At this age it is ended whatever the module does: within 7 s it must be, and looks are a second apart.
 SILENT_MOST_US = 5_500_000
+# A connection on which neither side sends anything for so long is ended: a client whose machine vanished
+# never says so, and its connection would stay for ever. Terminals send a line every few seconds.
+IDLE_US = 600_000_000
 # An instance that has said its last line is given so long to end the connection by itself.
 LAST_LINE_US = 300_000
 # A move waits so long for the end of the line under way, and goes without a word after that.
@@ -90,12 +93,14 @@
         self._token = token
         self._client = _Side(self, client)
         self._instance = _Side(self, instance)
-        self._asked: deque[int] = deque(maxlen=ASKED_MOST)
+        self._asked: deque[int] = deque()
         self._look: Deadline | None = None
         self._closing: Deadline | None = None
         self._ending: tuple[api.Result, api.Report | None] | None = None  # the instance's last line
         self._moving = False
         self._over = False
+        self._heard_at = loop.now
+        self._idle = loop.after(IDLE_US, self._on_idle)
         client.write(up_line + lines.END)
         self.pass_on(self._client)
         self.pass_on(self._instance)
@@ -128,9 +133,11 @@
     def _note(self, side: _Side, done: list[bytes]) -> None:
         if self._over:
             return
+        self._heard_at = self._loop.now
         if side is self._client:
             if done:
-                self._asked.extend([self._loop.now] * len(done))
+                room = ASKED_MOST - len(self._asked)  # the oldest must stay: they tell of silence
+                self._asked.extend([self._loop.now] * min(len(done), room))
                 if self._look is None:
                     self._look = self._loop.after(LOOK_US, self._look_again)
             return
@@ -145,6 +152,9 @@
                 self._closing = self._closing or self._loop.after(LAST_LINE_US, self._finish_both)
             elif self._asked:
                 self._owner.session_delay(self._token, self._loop.now - self._asked.popleft())
+                # A hung instance may never answer what it swallowed; each later answer would look late.
+                while self._asked and self._loop.now - self._asked[0] >= STALLED_US:
+                    self._asked.popleft()
         if self._moving and not side.count.midline:
             self._send_move()
 
@@ -175,6 +185,13 @@
         self._client.stream.finish()
         self._tell_over(result, None)
 
+    def _on_idle(self) -> None:
+        left = self._heard_at + IDLE_US - self._loop.now
+        if left > 0:
+            self._idle = self._loop.after(left, self._on_idle)
+        else:
+            self._end_now(api.Result.CANCELLED)
+
     # Moves
 
     def move(self) -> None:
@@ -231,5 +248,6 @@
         if not self._over:
             self._over = True
             self._loop.cancel(self._look)
+            self._loop.cancel(self._idle)
             self._asked.clear()
             self._owner.session_over(self._token, result, report)
--- a/larchhaven/net/slots.py
+++ b/larchhaven/net/slots.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
@@ -23,15 +22,6 @@
         """Count the items held."""
         return len(self._items) - len(self._free)
 
-    def __iter__(self) -> Iterator[tuple[int, T]]:
-        """Walk over a copy of the tokens and items, so that a step may remove any of them."""
-        held = [
-            (generation << INDEX_BITS | index, item)
-            for index, (generation, item) in enumerate(zip(self._generations, self._items, strict=True))
-            if item is not None
-        ]
-        return iter(held)
-
     def add(self, item: T) -> int:
         """Take in an item and return its token."""
         if self._free:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -264,9 +264,11 @@
 def test_leaving_instance_moves_all_it_holds_in_time() -> None:
     b = balancer(2)
     connected(b, 10)
+    b.handle(START + 50, [arrival(10, load=0.01)])
     actions = b.handle(START + 100, [api.Leaving(3_000_000)])
+    actions = [*actions, *b.handle(START + 101, [api.Established(10, 0, b.conns[10].server.id, 500)])]  # type: ignore[union-attr]
     done = timers_until(b, actions, START + 100, START + 100 + 2_700_000)
-    assert sorted(m.request for m in of(api.Move, [a for _, a in done])) == list(range(10))
+    assert sorted(m.request for m in of(api.Move, [a for _, a in done])) == list(range(11))
 
 
 def test_pinned_connection_goes_to_its_server_or_waits_for_it() -> None:
--- /dev/null
+++ b/tests/test_lines.py
@@ -0,0 +1,105 @@
+"""The text protocol and the tables, without sockets."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from larchhaven import interface as api
+from larchhaven.net import lines
+from larchhaven.net.buffers import Buffer, Pool
+from larchhaven.net.discovery import Directory, HostEntry, HostList, read_address
+from larchhaven.net.slots import Slots
+
+PIECES = st.lists(st.sampled_from([b"a", b"\r", b"\n", b"\r\n", b"BYE x0=1", b"\x00\xff" * 200]), max_size=30)
+
+
+@settings(max_examples=200, deadline=None, derandomize=True)
+@given(PIECES)
+def test_lines_are_counted_alike_however_they_are_split(pieces: list[bytes]) -> None:
+    """Guards the gap between two lines, where alone a MOVE may be written."""
+    whole = b"".join(pieces)
+    at_once, bit_by_bit = lines.LineCounter(), lines.LineCounter()
+    found = [head for piece in pieces for head in bit_by_bit.feed(piece)]
+    assert len(at_once.feed(whole)) == len(found) == whole.count(b"\r\n")
+    assert at_once.midline == bit_by_bit.midline == (not whole.endswith(b"\r\n") and bool(whole))
+    assert [head[:200] for head in found] == [part[:200] for part in whole.split(b"\r\n")[:-1]]
+
+
+@pytest.mark.parametrize(
+    ("line", "sent"),
+    [
+        (b"OPEN 1 2 c=a,d=2000,g=3", b"OPEN 1 2 c=a,d=1234,g=3\r\n"),
+        (b"OPEN d=1 2 d=5", b"OPEN d=1 2 d=1234\r\n"),
+        (b"OPEN 1 2 c=a,id=7,xd=8", b"OPEN 1 2 c=a,id=7,xd=8\r\n"),
+    ],
+)
+def test_only_the_wait_is_changed(line: bytes, sent: bytes) -> None:
+    assert lines.with_wait(line, 1_234_567) == sent
+
+
+@pytest.mark.parametrize(
+    ("line", "answer"),
+    [
+        (b"PONG x0=0.4,util=0.3,qps=9", (api.Result.OK, api.Report(ratio=0.4, utilization=0.3))),
+        (b"PONG", (api.Result.OK, None)),
+        (b"PONG x0=nan,util=-1,x0", (api.Result.OK, None)),
+        (b"BUSY", (api.Result.FULL, None)),
+        (b"ERR", (api.Result.ERROR, None)),
+        (b"NO", (api.Result.NOT_SENT, None)),
+        (b"\xff\x00", (api.Result.ERROR, None)),
+    ],
+)
+def test_probe_answers(line: bytes, answer: tuple[api.Result, api.Report | None]) -> None:
+    assert lines.read_probe(line) == answer
+
+
+@pytest.mark.parametrize(
+    ("line", "load"), [(b"LOAD 120000", 0.12), (b"LOAD", None), (b"LOAD x", None), (b"LOADS 1", None)]
+)
+def test_load_is_told_in_microseconds_a_second(line: bytes, load: float | None) -> None:
+    assert lines.read_load(line) == load
+
+
+@pytest.mark.parametrize("text", ["", "x", "h:", ":1", "h:-1", "h:99999", "h:²"])
+def test_strange_addresses_are_none(text: str) -> None:
+    assert read_address(text) is None
+
+
+def test_stale_token_reaches_nobody() -> None:
+    table: Slots[str] = Slots()
+    first = table.add("first")
+    assert table.remove(first) == "first" and table.remove(first) is None
+    second = table.add("second")
+    assert second != first and table.get(first) is None and table.get(second) == "second"
+    assert len(table) == 1 and table.get(1 << 60) is None
+
+
+def test_buffer_that_comes_back_wakes_all_that_wait() -> None:
+    """Guards against a stream that waits for ever behind one that was closed while it waited."""
+    pool = Pool(1)
+    only = pool.take()
+    assert isinstance(only, Buffer) and pool.take() is None
+    woken: list[int] = []
+    pool.wait(lambda: woken.append(1))
+    pool.wait(lambda: woken.append(2))
+    pool.give(only)
+    assert woken == [1, 2] and pool.take() is only
+
+
+def test_directory_keeps_since_when_an_instance_is_to_be_left_alone() -> None:
+    directory = Directory(["a"], ["k"])
+    entry = HostEntry("s0", "127.0.0.1:7000", "a", "k", born_ms=1)
+    directory.take(api.ListKind.COMPLETE, HostList(1, [entry], True), 100)
+    assert directory.told_at("s0") is None and directory.address("s0") == ("127.0.0.1", 7000)
+    entry.health = "draining"
+    for now in (200, 300):
+        told = directory.take(api.ListKind.CHANGES, HostList(2, [entry]), now)
+        assert directory.told_at("s0") == 200 and told.entries[0].state is api.State.DRAINING
+    directory.take(api.ListKind.COMPLETE, HostList(3, [], True), 400)
+    assert directory.told_at("s0") == 200 and directory.address("s0") is None
+    entry.health = "what is this"
+    assert directory.take(api.ListKind.CHANGES, HostList(4, [entry]), 500).entries[0].state is (
+        api.State.DRAINING
+    )
