End a standing connection only on BYE or MOVE; keep the broker free of the text protocol

Seen: reading the relay, an application line that begins with ERR or BUSY ended a connection that stood, 0.3 s later; a MOVE could be cut short where the client does not read. Checked: a test with such lines fails on the code before; ruled out the executions, whose first answer has its own reading. At fault: Relay._note used lines.read_ending, which is meant for first answers. Also: lines.Opening repeated broker.Wants; the broker took its types from the text side and now declares what it needs itself.

--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -13,10 +13,8 @@
 
 from larchhaven import interface as api
 from larchhaven.choice import Balancer
-from larchhaven.net.executions import Execution
 from larchhaven.net.loop import Deadline, Loop
 from larchhaven.net.notices import Notices
-from larchhaven.net.relay import Session
 from larchhaven.net.slots import Slots
 
 # A delay note is sent at most this often for each instance.
@@ -43,6 +41,20 @@
     at: str | None = None
 
 
+class Execution(Protocol):
+    """One attempt of a command at an instance."""
+
+    def cancel(self) -> None:
+        """Give up without a word."""
+
+
+class Session(Protocol):
+    """A connection that stands."""
+
+    def move(self) -> None:
+        """Tell the client to come again, and end both sides."""
+
+
 class Client(Protocol):
     """How a service client is answered; each command gets exactly one of these calls."""
 
@@ -83,7 +95,7 @@
     """A command, and the session it becomes."""
 
     __slots__ = (
-        "attempt", "begun_at", "client", "execution", "host", "limit", "load", "payload", "session", "until",
+        "attempt", "begun_at", "client", "execution", "host", "limit", "payload", "session", "until",
     )  # fmt: skip
 
     def __init__(self, client: Client, wants: Wants, until: int) -> None:
--- a/larchhaven/net/buffers.py
+++ b/larchhaven/net/buffers.py
@@ -195,6 +195,10 @@
         """The bytes written that the system has not taken yet."""
         return len(self._outbox) if self._outbox is not None else 0
 
+    def fits(self, count: int) -> bool:
+        """Tell whether so many bytes more would be taken whole."""
+        return self.pending + count <= SIZE
+
     def write(self, data: bytes | memoryview) -> int:
         """Send what goes at once, keep what fits in the outbox, and return how much was taken in all."""
         if self.closed or self._ending:
--- a/larchhaven/net/clients.py
+++ b/larchhaven/net/clients.py
@@ -7,9 +7,9 @@
 from collections.abc import Mapping
 
 from larchhaven.net import lines
-from larchhaven.net.broker import Broker, Wants
+from larchhaven.net.broker import Broker, Execution
 from larchhaven.net.buffers import SHORT_OF, Pool, Stream
-from larchhaven.net.executions import Execution
+from larchhaven.net.executions import TextExecution
 from larchhaven.net.loop import READ, Deadline, Loop
 from larchhaven.net.notices import Notices
 from larchhaven.net.relay import Relay
@@ -55,25 +55,13 @@
                     self.stream.write(lines.PONG)
                     self._rest(PING_REST_US)
                     continue
-                opening = lines.read_opening(line, self._listener.classes)
+                wants = lines.read_opening(line, self._listener.classes)
             except lines.BadLineError as error:
                 self._listener.notices.tell("bad first line", str(error))
                 self.fail()
                 return
             self._loop.cancel(self._limit)
             self._limit = None
-            wants = Wants(
-                payload=opening.line,
-                cls=opening.cls,
-                wait_us=opening.wait_us,
-                key=opening.key,
-                group=opening.group,
-                load=opening.load,
-                retry=opening.retry,
-                again=opening.again,
-                midflow=opening.midflow,
-                at=opening.at,
-            )
             self._token = self._listener.broker.take_command(self, wants)
 
     def on_end(self) -> None:
@@ -118,7 +106,7 @@
     def serve(self, execution: Execution, token: int) -> Relay:
         """Join the client to the instance that took its command."""
         self._listener.count_out(self)
-        assert execution.stream is not None  # it has come up
+        assert isinstance(execution, TextExecution) and execution.stream is not None  # it has come up
         return Relay(
             self._loop, self.stream, execution.stream, execution.up_line, self._listener.broker, token
         )
--- a/larchhaven/net/executions.py
+++ b/larchhaven/net/executions.py
@@ -24,7 +24,7 @@
         """Take how the execution ended without having come up."""
 
 
-class Execution:
+class TextExecution:
     """One attempt; its owner hears exactly once how it came out, unless it cancels."""
 
     def __init__(
--- a/larchhaven/net/lines.py
+++ b/larchhaven/net/lines.py
@@ -4,9 +4,9 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from larchhaven import interface as api
+from larchhaven.net.broker import Wants
 from larchhaven.net.buffers import Buffer
 
 LONGEST = 4096
@@ -43,22 +43,6 @@
     return line
 
 
-@dataclass(frozen=True, slots=True)
-class Opening:
-    """The first line of a client's connection."""
-
-    line: bytes
-    key: int
-    cls: int
-    wait_us: int | None
-    group: int | None = None
-    load: float | None = None
-    retry: bool = False
-    again: bool = False
-    midflow: bool = False
-    at: str | None = None
-
-
 def _whole(text: bytes, base: int, what: str) -> int:
     # int() would take signs, blanks and underscores, none of which the protocol has.
     if not text.isalnum() or len(text) > 32:
@@ -83,7 +67,7 @@
     return fields.get(name, b"0") not in (b"0", b"")
 
 
-def read_opening(line: bytes, classes: Mapping[str, int]) -> Opening:
+def read_opening(line: bytes, classes: Mapping[str, int]) -> Wants:
     """Read ``OPEN id key c=..,d=..``; raise BadLineError for anything else."""
     parts = line.split(b" ")
     if len(parts) != 4 or parts[0] != b"OPEN":
@@ -101,8 +85,8 @@
         raise BadLineError("the class is unknown")
     load = fields.get(b"h")
     at = fields.get(b"at")
-    return Opening(
-        line=line,
+    return Wants(
+        payload=line,
         key=_whole(parts[2], 16, "the key"),
         cls=cls,
         wait_us=_whole(fields[b"d"], 10, "d") * 1000 if b"d" in fields else None,
@@ -158,6 +142,14 @@
     return None if result is None else (result, read_report(rest))
 
 
+def read_last(line: bytes) -> tuple[api.Result, api.Report | None] | None:
+    """Read the line by which an instance ends a connection that stands; None for any other line.
+
+    Only these two do: what else the instance says then is between it and the client, ``ERR`` included.
+    """
+    return read_ending(line) if line == b"MOVE" or line == b"BYE" or line.startswith(b"BYE ") else None
+
+
 def is_up(line: bytes) -> bool:
     """Tell whether the instance has taken the connection."""
     return line == b"UP" or line.startswith(b"UP ")
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -12,7 +12,7 @@
 from larchhaven.net.clients import SPARE_DESCRIPTORS, Listener
 from larchhaven.net.config import Config
 from larchhaven.net.discovery import Directory, Discovery, HostList
-from larchhaven.net.executions import Execution
+from larchhaven.net.executions import TextExecution
 from larchhaven.net.loop import Loop
 from larchhaven.net.notices import Notices
 from larchhaven.net.peers import Peers
@@ -50,8 +50,8 @@
                 loop, notices, config.peer_listen, config.peers, config.peers_all, self._on_peer
             )
 
-        def begin(token: int, first_line: bytes, address: tuple[str, int], wait_us: int) -> Execution:
-            return Execution(
+        def begin(token: int, first_line: bytes, address: tuple[str, int], wait_us: int) -> TextExecution:
+            return TextExecution(
                 loop, pool, broker, token, first_line, address, settings.connect_timeout_us, wait_us
             )
 
--- a/larchhaven/net/relay.py
+++ b/larchhaven/net/relay.py
@@ -27,13 +27,6 @@
 ASKED_MOST = 64
 
 
-class Session(Protocol):
-    """A connection that stands, as the broker sees it."""
-
-    def move(self) -> None:
-        """Tell the client to come again, and end both sides."""
-
-
 class SessionOwner(Protocol):
     """Whom a session tells of its life."""
 
@@ -146,7 +139,7 @@
             if load is not None:
                 self._owner.session_load(self._token, load)
                 continue
-            ending = lines.read_ending(line)
+            ending = lines.read_last(line)
             if ending is not None:
                 self._ending = ending
                 self._closing = self._closing or self._loop.after(LAST_LINE_US, self._finish_both)
@@ -180,8 +173,7 @@
         if self._client.stream.closed:
             self._tell_over(result, None)
             return
-        if not self._instance.count.midline:
-            self._client.stream.write(lines.MOVE)
+        self._write_move()
         self._client.stream.finish()
         self._tell_over(result, None)
 
@@ -207,10 +199,15 @@
     def _send_move(self) -> None:
         if self._over:
             return
-        self._client.stream.write(lines.MOVE)
+        self._write_move()
         self._tell_over(api.Result.CANCELLED, None)
         self._finish_both()
 
+    def _write_move(self) -> None:
+        """Write it whole and between two lines, or not at all."""
+        if not self._instance.count.midline and self._client.stream.fits(len(lines.MOVE)):
+            self._client.stream.write(lines.MOVE)
+
     # Ends
 
     def on_side_end(self, side: _Side) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -160,6 +160,19 @@
     assert instance.line() == ""
 
 
+@pytest.mark.parametrize("line", ["ERR", "BUSY 5", "MOVES", "BYES"])
+def test_other_lines_do_not_end_a_connection_that_stands(proxy: Proxy, line: str) -> None:
+    """Guards lines between client and instance that only look like the proxy's business."""
+    client, instance = proxy.opened()
+    instance.send(line)
+    assert client.line() == line
+    client.sock.settimeout(0.6)  # after a last line the end would come within this time
+    with pytest.raises(TimeoutError):
+        client.sock.recv(1)
+    client.send("go on")
+    assert instance.line() == "go on"
+
+
 @pytest.mark.parametrize("how", ["end", "reset"])
 @pytest.mark.parametrize("who", ["client", "instance"])
 def test_one_side_s_end_is_passed_on_in_the_same_way(proxy: Proxy, who: str, how: str) -> None:
