--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -75,6 +75,9 @@
         """Serve until told to stop."""
         known = self._directory.take(api.ListKind.REMEMBERED, self._config.known, self._loop.now)
         self._broker.queue(known)
+        if not self._config.settings.subscribe:
+            # The simulator's "automatic" sends news unasked; over HTTP nothing comes without a watch.
+            self._discovery.watch(True)
         self._broker.turn()
         host, port = self._listener.address
         _log.info("%s listens at %s:%d", self._config.name or "larchhaven", host, port)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -207,6 +207,21 @@
         assert client.line() == "UP 3"
 
 
+@pytest.mark.parametrize("number", [0, 1])
+def test_connection_that_arrives_mid_flow_goes_to_its_holder(proxy: Proxy, number: int) -> None:
+    """Guards a connection whose packets left and came back: any other instance would reset it."""
+    client = proxy.client(opening(f"{PLAIN},at=s{number}"))
+    instance = proxy.accept(proxy.instances[number])
+    for _ in range(5):
+        instance.line()
+        instance.send("UP 1")
+        assert client.line() == "UP 1"
+        client.close()
+        assert instance.line() == ""
+        client = proxy.client(opening(f"{PLAIN},mid=1"))
+        instance = proxy.accept(proxy.instances[number])
+
+
 def test_silent_connection_is_moved(proxy: Proxy) -> None:
     """Guards against connections that sit on a hung instance, which keeps them open and says nothing."""
     client, instance = proxy.opened()
@@ -244,6 +259,26 @@
     client.close()
 
 
+@pytest.mark.parametrize("proxy", [{"discovery": "subscribe"}], indirect=True)
+def test_clients_of_a_draining_instance_are_told_to_move(proxy: Proxy) -> None:
+    """Guards against clients that learn of a drain only when their instance leaves and cuts them off."""
+    ends = []
+    for number in (0, 1, 0):
+        client = proxy.client(opening(f"{PLAIN},at=s{number}"))
+        instance = proxy.accept(proxy.instances[number])
+        instance.line()
+        instance.send("UP 1")
+        assert client.line() == "UP 1"
+        ends.append((client, instance))
+    told = json.dumps({"seq": 8, "hosts": [host("s0", proxy.instances[0], "draining")]})
+    answer_watch(Wire(proxy.discovery.accept()[0]), told)
+    for client, instance in (ends[0], ends[2]):
+        assert [client.line(), client.line(), instance.line()] == ["MOVE", "", ""]
+    client, instance = ends[1]
+    client.send("still here")
+    assert instance.line() == "still here"
+
+
 @pytest.mark.parametrize(
     ("body", "status"),
     [
