Spend spare probes on the oldest report, so that jams out of sight show

Ruled out the relay's clock, CPU and lost LOAD lines. At fault: _on_arrival, whose probes (_look) go to the lowest ratios alone.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -239,6 +239,7 @@
             self._place(conn)
         else:
             self._look(conn)
+            self._refresh()
 
     def _admit(self, event: api.Arrival) -> Conn:
         cls = min(max(event.cls, 0), len(self.settings.classes) - 1)
@@ -569,7 +570,10 @@
             self._place(conn)
 
     def _refresh(self) -> None:
-        """Probe the server with the oldest report, since a refused request looks at none.
+        """Probe the server with the oldest report, as looks go to the lowest alone, and refusals to none.
+
+        A server out of sight is relieved only when a report tells that it is jammed: where answers do not
+        tell it too, its connections sat there to the end of the jam.
 
         Refusals rest on reports. Where nothing is placed nothing was probed either: a fleet once reported as
         full stayed so to this instance, and it refused everybody long after the jam was over.
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -280,3 +280,17 @@
     unknown = api.Arrival(2, 0, 1_200_000, at="s9")
     actions = b.handle(START + 2, [unknown])
     assert of(api.Send, actions) == [] and of(api.SetTimer, actions)
+
+
+def test_server_out_of_sight_is_still_probed() -> None:
+    """Guards against a jam that no answer tells of: probes went to the lowest servers alone."""
+    b = balancer(6, can_probe=True)
+    b.handle(START, [report(i, 0.1 if i == 0 else 0.6) for i in range(6)])
+    probed: set[str] = set()
+    for request in range(12):
+        now = START + 200_000 * (request + 1)
+        for probe in of(api.Probe, b.handle(now, [arrival(request, load=0.001)])):
+            probed.add(probe.server)
+            ratio = 0.1 if probe.server == "s0" else 0.6
+            b.handle(now + 1, [api.ProbeResult(probe.server, api.Result.OK, 1, api.Report(ratio=ratio))])
+    assert probed == {f"s{i}" for i in range(6)}
