Reload the configuration on SIGHUP and follow discovery to its new address

Checked: the log ends without a word at the signal; nothing in node.py handles SIGHUP, so the system ends the process. Lines at fault: Node.__init__ registers SIGTERM and SIGINT only; Discovery has no way to another address, and its watch names the version of the old one, which would keep the new address mute until it had come as far.

Now node reads the file again; discovery hangs up on the old address at once and asks the new one for its whole list, again and again if need be, and then watches from the version told there. A file that cannot be used is one log line. The seven tests fail without the change.

--- a/larchhaven/net/discovery.py
+++ b/larchhaven/net/discovery.py
@@ -136,6 +136,7 @@
         self._body = bytearray()
         self._watching = False
         self._whole = False  # the next call asks for the whole list
+        self._strange = False  # this address has not told a list yet: the version held is another's
         self._calling = False
         self._open = False
         self._done = False
@@ -157,6 +158,17 @@
             self._hang_up()
         self._call()
 
+    def follow(self, address: tuple[str, int]) -> None:
+        """Ask at another address from now on.
+
+        Versions count for one address only: a watch from the old one's would keep the new one mute until it
+        had come as far. So the whole list is asked for first, again and again if need be.
+        """
+        self._address = address
+        self._hang_up()
+        self._whole = self._strange = True
+        self._call()
+
     # Calls
 
     def _call(self) -> None:
@@ -195,7 +207,8 @@
     def _fail(self, why: str) -> None:
         if self._calling:
             self._hang_up()
-            self._watching = self._whole = False
+            self._watching = False
+            self._whole = self._strange
             self._notices.tell("discovery failed", why)
             self._told(None)
 
@@ -213,7 +226,7 @@
             return
         told.whole = told.whole or self._whole
         self._loop.cancel(self._limit)
-        self._calling = self._whole = False
+        self._calling = self._whole = self._strange = False
         self._seq = told.seq
         if not self._keep:
             self._hang_up()
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import logging
+import os
 import resource
 import signal
+from dataclasses import replace
 
 from larchhaven import interface as api
 from larchhaven.net.broker import Broker, Outside
 from larchhaven.net.buffers import SIZE, Pool
 from larchhaven.net.clients import SPARE_DESCRIPTORS, Listener
-from larchhaven.net.config import Config
+from larchhaven.net.config import Config, ConfigError, load
 from larchhaven.net.discovery import Directory, Discovery, HostList
 from larchhaven.net.executions import TextExecution
 from larchhaven.net.loop import Loop
@@ -70,6 +72,7 @@
         self._stopping = False
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.on_signal(number, self._on_stop)
+        loop.on_signal(signal.SIGHUP, self._on_reload)
 
     def run(self) -> None:
         """Serve until told to stop."""
@@ -113,6 +116,27 @@
         if self._peers is not None:
             self._peers.tell(peer, data)
 
+    # A new configuration
+
+    def _on_reload(self) -> None:
+        """Read the configuration again and follow discovery to where it is now.
+
+        Everything else stands: connections, the list, what is known of loads. What else has changed in the
+        file counts from the next start on. A file that cannot be used changes nothing.
+        """
+        try:
+            config = load(os.environ)
+        except ConfigError as error:
+            _log.warning("configuration not reloaded: %s", error)
+            return
+        host, port = config.discovery
+        rest = replace(config, discovery=self._config.discovery, known=self._config.known)
+        more = "" if rest == self._config else "; the other changes count from the next start on"
+        _log.info("configuration reloaded: discovery is at %s:%d%s", host, port, more)
+        if config.discovery != self._config.discovery:
+            self._config = replace(self._config, discovery=config.discovery)
+            self._discovery.follow(config.discovery)
+
     # The end
 
     def _on_stop(self) -> None:
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -7,6 +7,7 @@
 import os
 import re
 import select
+import signal
 import socket
 import struct
 import subprocess
@@ -90,10 +91,10 @@
     def __init__(self, folder: Path, instances: int = 2, sockets: int = 1024, **settings: Any) -> None:
         self.instances = [listener() for _ in range(instances)]
         self.discovery = listener()
-        config = self.config(**settings)
-        config["limits"]["sockets"] = sockets
-        path = folder / "config.json"
-        path.write_text(json.dumps(config))
+        self.configuration = self.config(**settings)
+        self.configuration["limits"]["sockets"] = sockets
+        self.path = path = folder / "config.json"
+        path.write_text(json.dumps(self.configuration))
         self.process = subprocess.Popen(
             [sys.executable, "-m", "larchhaven"],
             cwd=ROOT,
@@ -120,6 +121,16 @@
             "known": {"seq": 7, "whole": True, "hosts": hosts},
         }  # fmt: skip
 
+    def reload(self, text: str) -> None:
+        """Replace the configuration and tell the program."""
+        self.path.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
+    def log_line(self) -> str:
+        """Wait for the next line of the log."""
+        assert self.process.stderr is not None
+        return str(self.process.stderr.readline())
+
     def client(self, text: str | None = None) -> Wire:
         wire = Wire(socket.create_connection(self.address))
         if text is not None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.rig import PATIENCE, ROOT, Proxy, Wire, host, opening
+from tests.rig import PATIENCE, ROOT, Proxy, Wire, dial, host, listener, opening
 
 PLAIN = "c=chat,d=2000,g=ab"
 
@@ -300,6 +300,55 @@
     assert Wire(proxy.discovery.accept()[0]).line()
 
 
+@pytest.mark.parametrize("first", ["answers", "fails", "is not there"])
+@pytest.mark.parametrize("proxy", [{"discovery": "subscribe"}], indirect=True)
+def test_reload_follows_discovery_and_keeps_what_stands(proxy: Proxy, first: str) -> None:
+    """Guards against an end by SIGHUP, and against a version of the old address that mutes the new one."""
+    client, instance = proxy.opened(f"{PLAIN},at=s1")
+    old = Wire(proxy.discovery.accept()[0])
+    moved = listener()
+    proxy.configuration["discovery"] = dial(moved)
+    if first == "is not there":
+        address = moved.getsockname()
+        moved.close()
+    proxy.reload(json.dumps(proxy.configuration))
+    assert old.file.read().endswith(b"\r\n\r\n")  # the old watch ends with no more calls
+    if first == "is not there":
+        assert "reloaded" in proxy.log_line() and "discovery failed" in proxy.log_line()
+        moved = socket.create_server(address)
+        moved.settimeout(PATIENCE)
+    if first == "fails":
+        assert answer_watch(Wire(moved.accept()[0]), "", "503 Busy").startswith("GET /v1/endpoints HTTP")
+    discovery = Wire(moved.accept()[0])
+    hosts = [host("s0", proxy.instances[0], "draining"), host("s1", proxy.instances[1])]
+    told = json.dumps({"seq": 3, "whole": True, "hosts": hosts})
+    assert answer_watch(discovery, told).startswith("GET /v1/endpoints HTTP")
+    assert discovery.line().startswith("GET /v1/endpoints?from=3&hold_ms=")
+    others = [proxy.client(opening(PLAIN)) for _ in range(6)]
+    for _ in others:
+        assert proxy.accept(proxy.instances[1]).line()
+    client.send("still here")
+    assert instance.line() == "still here"
+
+
+@pytest.mark.parametrize("text", ["", "{", '{"settings":{}}', "gone"])
+@pytest.mark.parametrize("proxy", [{"discovery": "subscribe"}], indirect=True)
+def test_unusable_file_is_one_log_line_and_the_old_one_stays(proxy: Proxy, text: str) -> None:
+    discovery = Wire(proxy.discovery.accept()[0])
+    if text == "gone":
+        proxy.path.unlink()
+        proxy.process.send_signal(signal.SIGHUP)
+    else:
+        proxy.reload(text)
+    assert "configuration not reloaded" in proxy.log_line()
+    whole = json.dumps({"seq": 9, "whole": True, "hosts": [host("s0", proxy.instances[0])]})
+    assert answer_watch(discovery, whole).startswith("GET /v1/endpoints?from=7")
+    assert discovery.line().startswith("GET /v1/endpoints?from=9")
+    proxy.opened(f"{PLAIN},at=s0")
+    proxy.reload(json.dumps(proxy.configuration))
+    assert "configuration reloaded" in proxy.log_line()
+
+
 @pytest.mark.parametrize("proxy", [{"instances": 1, "policy_limits": {"probes": True}}], indirect=True)
 @pytest.mark.parametrize("answer", ["PONG x0=0.4,util=0.3,qps=9", "ERR", "BUSY", "NO", "\x00", "end"])
 def test_any_answer_to_a_probe_lets_the_command_go_on(proxy: Proxy, answer: str) -> None:
