Let silent and answered clients give way, drop big input to its end, refuse used ids

Checked with first lines and answers written to the log: 450 of 484 places were taken by openings, most of them connections that sent PING and stayed (170 a second come) and rested for 60 s, the others silent ones that had 10 s. Usual clients waited in the backlog behind them. Ruled out: CPU (at most 0.18 s a second), memory (11 MB), the decisions. Also seen there: an OPEN with the id of an open command of another client. The instance answers ERR, the command is tried three times, and each time a sound instance is ejected. Lines at fault: clients.py, FIRST_LINE_US and PING_REST_US, and Listener, which only waited; Stream.finish, which stopped reading after 1 s whatever still came.

Now the oldest silent or answered connections give way when descriptors run short, by a count of the sockets really open; input after the last answer goes to one shared block for as long as it flows, 5 s at most; a used id is an ERR. The tests fail without the change.

--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -32,6 +32,7 @@
     payload: bytes
     cls: int
     wait_us: int | None
+    identity: bytes = b""  # shared with no other open command; empty where a protocol has none
     key: int | None = None
     group: int | None = None
     load: float | None = None
@@ -95,12 +96,14 @@
     """A command, and the session it becomes."""
 
     __slots__ = (
-        "attempt", "begun_at", "client", "execution", "host", "limit", "payload", "session", "until",
+        "attempt", "begun_at", "client", "execution", "host", "identity", "limit", "payload", "session",
+        "until",
     )  # fmt: skip
 
     def __init__(self, client: Client, wants: Wants, until: int) -> None:
         self.client: Client | None = client  # None once it is answered or has left
         self.payload = wants.payload
+        self.identity = wants.identity
         self.until = until
         self.limit: Deadline | None = None
         self.attempt = -1
@@ -121,6 +124,7 @@
         self._events: list[api.Event] = []
         self.arrived_at = loop.now  # when the last command came
         self._commands: Slots[Command] = Slots()
+        self._identities: dict[bytes, int] = {}  # of the open commands
         self._notes: dict[str, tuple[int, bool]] = {}  # when the last was sent, and if it was slow
         aims = [c.message_aim_us or c.aim_us for c in settings.classes]
         self._slow_us = min(aims) / 3
@@ -162,6 +166,14 @@
 
     # Service clients
 
+    def is_taken(self, wants: Wants) -> bool:
+        """Tell whether the identity is that of another open command.
+
+        An instance would turn the second one away, at the price of a set-up, and seem to fail. A connection
+        that comes back mid-flow, or stood before, is the same one and may meet what is left of itself.
+        """
+        return wants.identity in self._identities and not wants.midflow and wants.at is None
+
     def take_command(self, client: Client, wants: Wants) -> int:
         """Take over a command, which is owed one final answer."""
         self.arrived_at = self._loop.now
@@ -171,6 +183,8 @@
         wait = min(wait, WAIT_MOST_US)
         command = Command(client, wants, self._loop.now + wait)
         token = self._commands.add(command)
+        if wants.identity:
+            self._identities[wants.identity] = token
         # Should the decision module ever miss the deadline, the client gets its answer all the same.
         command.limit = self._loop.after(wait + self._settings.answer_slack_us, lambda: self._overdue(token))
         self.queue(
@@ -211,11 +225,17 @@
     def _drop(self, token: int, command: Command) -> None:
         """Forget a command that owes nothing more, and give up its execution."""
         self._loop.cancel(command.limit)
-        self._commands.remove(token)
+        self._remove(token)
         if command.execution is not None:
             command.execution.cancel()
             self._ended(token, command, api.Result.CANCELLED, None, finished=True)
 
+    def _remove(self, token: int) -> Command | None:
+        command = self._commands.remove(token)
+        if command is not None and self._identities.get(command.identity) == token:
+            del self._identities[command.identity]
+        return command
+
     # Executions
 
     def may_begin(self, token: int) -> bool:
@@ -284,7 +304,7 @@
 
     def session_over(self, token: int, result: api.Result, report: api.Report | None) -> None:
         """Take how a session ended."""
-        command = self._commands.remove(token)
+        command = self._remove(token)
         if command is not None:
             self._ended(token, command, result, report, finished=True)
 
--- a/larchhaven/net/buffers.py
+++ b/larchhaven/net/buffers.py
@@ -13,8 +13,12 @@
 
 # Room for a line of the greatest length and the beginning of the next.
 SIZE = 8192
-# A stream that was ended here reads on for so long, so that what it wrote last is not lost to a reset.
+# A stream that was ended here reads on while input comes, so that what it wrote last is not lost to a reset:
+# so long after the last of it, and never longer than the second, which covers one that sends very much.
 LINGER_US = 1_000_000
+LINGER_MOST_US = 5_000_000
+# Input that is thrown away goes to one block that all streams share.
+DROP_SIZE = 1 << 16
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Conditions of the whole process, not of the connection: no descriptors or no memory left for one more.
 SHORT_OF = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -54,6 +58,10 @@
         self._free: list[Buffer] = []
         self._left = most
         self._waiting: list[Callable[[], None]] = []
+        self.drain = memoryview(bytearray(DROP_SIZE))  # what is written here is never read
+        # Streams that have said their last and only wait for the other side, the oldest first: when
+        # descriptors are short these can be spared best.
+        self.parting: dict[Stream, None] = {}
 
     def take(self) -> Buffer | None:
         """Return an empty buffer, or None when all are out."""
@@ -116,6 +124,7 @@
         self.ended = False  # the other side sends no more
         self.closed = False
         self._linger: Deadline | None = None
+        self._finished_at = self._heard_at = 0
         self._channel = loop.add(sock, READ, self._on_ready)
 
     @classmethod
@@ -153,7 +162,15 @@
             if not self._reading and not self.closed:
                 self.resume()
 
+    def look(self) -> None:
+        """Read what may have come since the turn began."""
+        if self._reading and not self.closed and not self.ended:
+            self._read()
+
     def _read(self) -> None:
+        if self._deaf:
+            self._drop()
+            return
         if self.inbox is None:
             self.inbox = self._pool.take()
             if self.inbox is None:
@@ -176,18 +193,29 @@
             self.consume(0)
             self.ended = True
             self._watch()
-            if self._deaf:
-                self.close()
-            else:
-                self.owner.on_end()
+            self.owner.on_end()
             return
         self.inbox.end += count
-        if self._deaf:
-            # The new bytes are counted in first: a buffer that started past its end once ended the process.
-            self.consume(len(self.inbox))
-            return
         self.owner.on_input()
 
+    def _drop(self) -> None:
+        """Throw away what comes; a client may send many megabytes before it reads its answer."""
+        try:
+            count = self._sock.recv_into(self._pool.drain)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as error:
+            self._break(error.errno or errno.ECONNRESET)
+            return
+        if count:
+            self._heard_at = self._loop.now
+            return
+        self.ended = True
+        if self.pending:
+            self._watch()
+        else:
+            self.close()
+
     # Writing
 
     @property
@@ -277,7 +305,16 @@
             self.consume(len(self.inbox))
         self.resume()
         if self._linger is None:
-            self._linger = self._loop.after(LINGER_US, self.close)
+            self._finished_at = self._heard_at = self._loop.now
+            self._linger = self._loop.after(LINGER_US, self._on_linger)
+            self._pool.parting[self] = None
+
+    def _on_linger(self) -> None:
+        until = min(self._heard_at + LINGER_US, self._finished_at + LINGER_MOST_US)
+        if until > self._loop.now:
+            self._linger = self._loop.after(until - self._loop.now, self._on_linger)
+        else:
+            self.close()
 
     def close(self, reset: bool = False) -> None:
         """Close now; with ``reset`` the other side sees the connection break."""
@@ -285,6 +322,7 @@
             return
         self.closed = True
         self._loop.cancel(self._linger)
+        self._pool.parting.pop(self, None)
         self._loop.remove(self._channel)
         if reset:
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
--- a/larchhaven/net/clients.py
+++ b/larchhaven/net/clients.py
@@ -19,10 +19,12 @@
 # Accepting rests for so long when the process is out of descriptors or memory.
 SHORT_REST_US = 100_000
 # A connection must bring its first line within this time; one that sent a PING may rest for longer.
-FIRST_LINE_US = 10_000_000
-PING_REST_US = 60_000_000
-# Descriptors kept free for what is not a standing connection: probes, discovery, executions that connect.
-SPARE_DESCRIPTORS = 128
+FIRST_LINE_US = 2_000_000
+PING_REST_US = 5_000_000
+# Descriptors kept free for what no client opens: probes, discovery, the program's own.
+SPARE_DESCRIPTORS = 64
+# The part of the descriptors that connections without a first line may hold.
+SILENT_SHARE = 0.25
 
 
 class ServiceClient:
@@ -33,7 +35,7 @@
         self._loop = listener.loop
         self._token: int | None = None  # of its command, while the broker has it
         self.stream = Stream(listener.loop, listener.pool, sock, self)
-        self._limit: Deadline | None = self._loop.after(FIRST_LINE_US, self._on_idle)
+        self._limit: Deadline | None = self._loop.after(FIRST_LINE_US, self.fail)
 
     # The stream's owner
 
@@ -56,12 +58,15 @@
                     self._rest(PING_REST_US)
                     continue
                 wants = lines.read_opening(line, self._listener.classes)
+                if self._listener.broker.is_taken(wants):
+                    raise lines.BadLineError("the id is that of an open command")
             except lines.BadLineError as error:
                 self._listener.notices.tell("bad first line", str(error))
                 self.fail()
                 return
             self._loop.cancel(self._limit)
             self._limit = None
+            self._listener.count_out(self)
             self._token = self._listener.broker.take_command(self, wants)
 
     def on_end(self) -> None:
@@ -81,11 +86,14 @@
 
     def _rest(self, limit_us: int) -> None:
         self._loop.cancel(self._limit)
-        self._limit = self._loop.after(limit_us, self._on_idle)
+        self._limit = self._loop.after(limit_us, self.fail)
 
-    def _on_idle(self) -> None:
-        self._listener.count_out(self)
-        self.stream.finish()
+    def give_way(self) -> None:
+        """Answer and close at once, as others need the descriptor; a line that has just come still counts."""
+        self.stream.look()
+        if self._token is None and not self.stream.closed:
+            self.refuse(0)
+            self.stream.close()
 
     # Answers, as the broker gives them
 
@@ -105,7 +113,6 @@
 
     def serve(self, execution: Execution, token: int) -> Relay:
         """Join the client to the instance that took its command."""
-        self._listener.count_out(self)
         assert isinstance(execution, TextExecution) and execution.stream is not None  # it has come up
         return Relay(
             self._loop, self.stream, execution.stream, execution.up_line, self._listener.broker, token
@@ -123,15 +130,17 @@
         notices: Notices,
         address: tuple[str, int],
         classes: Mapping[str, int],
-        most: int,
+        descriptors: int,
     ) -> None:
         self.loop = loop
         self.pool = pool
         self.broker = broker
         self.notices = notices
         self.classes = classes
-        self._most = most
-        self._opening: set[ServiceClient] = set()
+        self._most = max(descriptors - SPARE_DESCRIPTORS, descriptors // 2)
+        self._silent_most = max(int(SILENT_SHARE * descriptors), 1)
+        # Those that have not brought a first line yet, the oldest first.
+        self._silent: dict[ServiceClient, None] = {}
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.bind(address)
@@ -145,13 +154,12 @@
         return host, port
 
     def count_out(self, client: ServiceClient) -> None:
-        """Count a client as answered, served or gone."""
-        self._opening.discard(client)
+        """Count a client as heard, answered or gone."""
+        self._silent.pop(client, None)
 
     def _on_ready(self, _: int) -> None:
         for _turn in range(ACCEPTS_A_TURN):
-            # A command may come to hold two descriptors, the client's and the execution's.
-            if len(self._opening) + 2 * self.broker.held() >= self._most:
+            if self._short() and not self._silent and not self.pool.parting:
                 self._pause("all descriptors are in use")
                 return
             try:
@@ -164,9 +172,26 @@
                     return
                 continue  # that client has gone again
             try:
-                self._opening.add(ServiceClient(self, sock))
+                self._silent[ServiceClient(self, sock)] = None
             except OSError:
                 sock.close()
+            self._make_room()
+
+    def _short(self) -> bool:
+        """Tell whether no descriptor is left but one for the execution of each client yet to speak."""
+        return self.loop.sockets() + len(self._silent) >= self._most
+
+    def _make_room(self) -> None:
+        """Let the oldest of those that are silent, or have their answer and do not leave, give way.
+
+        A usual client speaks as soon as it is connected. Waiting until the silent ones had gone by themselves
+        kept usual clients out for ten seconds and more; now only commands make newcomers wait.
+        """
+        while len(self._silent) > self._silent_most or (self._silent and self._short()):
+            if len(self._silent) <= self._silent_most and self.pool.parting:
+                next(iter(self.pool.parting)).close()
+            else:
+                next(iter(self._silent)).give_way()
 
     def _pause(self, why: str) -> None:
         self.notices.tell("accepting rests", why)
--- a/larchhaven/net/lines.py
+++ b/larchhaven/net/lines.py
@@ -87,6 +87,7 @@
     at = fields.get(b"at")
     return Wants(
         payload=line,
+        identity=parts[1],
         key=_whole(parts[2], 16, "the key"),
         cls=cls,
         wait_us=_whole(fields[b"d"], 10, "d") * 1000 if b"d" in fields else None,
--- a/larchhaven/net/loop.py
+++ b/larchhaven/net/loop.py
@@ -72,6 +72,10 @@
         self.set_events(token, events)
         return token
 
+    def sockets(self) -> int:
+        """Count the sockets that are open here, those that rest included."""
+        return len(self._channels)
+
     def set_events(self, token: int, events: int) -> None:
         """Change what the socket is watched for; with nothing, the channel rests."""
         channel = self._channels.get(token)
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -11,7 +11,7 @@
 from larchhaven import interface as api
 from larchhaven.net.broker import Broker, Outside
 from larchhaven.net.buffers import SIZE, Pool
-from larchhaven.net.clients import SPARE_DESCRIPTORS, Listener
+from larchhaven.net.clients import Listener
 from larchhaven.net.config import Config, ConfigError, load
 from larchhaven.net.discovery import Directory, Discovery, HostList
 from larchhaven.net.executions import TextExecution
@@ -66,8 +66,8 @@
             fetch=self._discovery.fetch,
             tell=self._tell,
         )
-        most = max(self._descriptors() - SPARE_DESCRIPTORS, 16)
-        self._listener = Listener(loop, pool, broker, notices, config.listen, config.classes, most)
+        descriptors = self._descriptors()
+        self._listener = Listener(loop, pool, broker, notices, config.listen, config.classes, descriptors)
         loop.turn_end = broker.turn
         self._stopping = False
         for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import itertools
 import json
 import os
 import re
@@ -16,6 +17,7 @@
 from typing import Any
 
 PATIENCE = 20.0  # seconds until a test gives up; none measures how long something takes
+_numbers = itertools.count()
 ROOT = Path(__file__).parent.parent
 
 SETTINGS: dict[str, Any] = {
@@ -162,4 +164,5 @@
 
 
 def opening(fields: str) -> str:
-    return f"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 {fields}"
+    """Write a first line with an id that no other has."""
+    return f"OPEN 9b1f03aa{next(_numbers):08x} 7f3a9c21e0b4d655 {fields}"
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -34,14 +35,15 @@
     client.send("PING")
     assert client.line() == "PONG"
     client.send(opening(PLAIN))
-    assert proxy.accept().line().startswith("OPEN 9b1f03aa5c7e2d41 ")
+    assert proxy.accept().line().startswith("OPEN 9b1f03aa")
 
 
 def test_first_line_is_forwarded_with_only_d_changed_and_lines_pass_both_ways(proxy: Proxy) -> None:
-    client = proxy.client(opening("c=chat,d=2000,g=ab,x-new=5"))
+    first = opening("c=chat,d=2000,g=ab,x-new=5")
+    client = proxy.client(first)
     instance = proxy.accept()
     head, _, fields = instance.line().rpartition(" ")
-    assert head == "OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655"
+    assert head == first.rpartition(" ")[0]
     pairs = [pair.split("=") for pair in fields.split(",")]
     assert [pair for pair in pairs if pair[0] != "d"] == [["c", "chat"], ["g", "ab"], ["x-new", "5"]]
     assert pairs[1][0] == "d" and 0 < int(pairs[1][1]) <= 2000
@@ -98,7 +100,7 @@
     if answer not in ("end", "reset"):
         with contextlib.suppress(ConnectionResetError):
             assert first.file.read() == b""
-    assert second.line().startswith("OPEN 9b1f03aa5c7e2d41 ")
+    assert second.line().startswith("OPEN 9b1f03aa")
     second.send("UP 2")
     assert client.line() == "UP 2"
 
@@ -231,6 +233,11 @@
     assert instance.line() == ""
 
 
+def resident_mb(proxy: Proxy) -> float:
+    status = Path(f"/proc/{proxy.process.pid}/status").read_text()
+    return int(status.split("VmRSS:")[1].split()[0]) / 1024
+
+
 def answer_watch(wire: Wire, body: str, status: str = "200 OK") -> str:
     request = wire.line()
     while wire.line():
@@ -388,13 +395,50 @@
 
 
 @pytest.mark.parametrize("proxy", [{"sockets": 160}], indirect=True)
-def test_accepting_rests_while_descriptors_are_short_and_goes_on(proxy: Proxy) -> None:
-    """Guards against a loop that spins or dies when no descriptor is left for one more client."""
-    held = [proxy.client() for _ in range(60)]
-    client = proxy.client("PING")
+@pytest.mark.parametrize("says", ["", "PING\r\n", "OPEN half", "HELLO\r\n"])
+def test_clients_that_say_nothing_or_stay_keep_nobody_out(proxy: Proxy, says: str) -> None:
+    """Guards usual clients, who waited in line behind silent ones until these had had their ten seconds."""
+    held = [proxy.client() for _ in range(300)]
     for wire in held:
-        wire.close()
-    assert client.line() == "PONG"
+        with contextlib.suppress(OSError):  # some have had to give way already
+            wire.sock.sendall(says.encode())
+    client, instance = proxy.opened("c=chat,d=1000,g=ab")
+    client.send("still here")
+    assert instance.line() == "still here"
+    assert held[0].file.read() in (b"", b"BUSY\r\n", b"ERR\r\n", b"PONG\r\nBUSY\r\n", b"PONG\r\nERR\r\n")
+
+
+def test_silent_client_is_told_and_ended(proxy: Proxy) -> None:
+    client = proxy.client()
+    assert [client.line(), client.line()] == ["ERR", ""]
+
+
+def test_answer_reaches_a_client_that_sends_much_before_it_reads(proxy: Proxy) -> None:
+    """Guards the answer to a value of many megabytes, which a reset would eat."""
+    client = proxy.client()
+    for _ in range(10):  # over the second that a quiet client has to read its answer
+        client.sock.sendall(b"x" * 6_000_000)
+        time.sleep(0.15)
+    assert [client.line(), client.line()] == ["ERR", ""]
+    assert resident_mb(proxy) < 60
+
+
+def test_id_of_an_open_command_is_turned_away_and_meets_no_instance(proxy: Proxy) -> None:
+    """Guards instances, which answer ERR to the second one and would seem to fail."""
+    first = opening(PLAIN)
+    client = proxy.client(first)
+    instance = proxy.accept()
+    second = proxy.client(first.replace("7f3a9c21", "00000000"))
+    assert [second.line(), second.line()] == ["ERR", ""]
+    instance.send("UP 1")
+    assert client.line() == "UP 1"
+    third = proxy.client(first)
+    assert [third.line(), third.line()] == ["ERR", ""]
+    client.close()
+    assert instance.line().startswith("OPEN") and instance.line() == ""
+    again = proxy.client(first)
+    assert proxy.accept().line().startswith("OPEN")
+    again.close()
 
 
 @pytest.mark.parametrize(
