Cast a server out for a quick error only once another takes the same request

Checked with events and actions in the log: an OPEN with an id that is open at another proxy gets ERR within a few ms at each of three instances; all three are ejected for seconds and the gate that paces set-ups shuts for everybody. So a client's bad command is believed to be three sick servers. Lines at fault: choice.py, _on_ended: every ERROR, RESET or TIMEOUT ejects, also one after 20 ms of a request that had no more time; and each one counts as a failed set-up, so that one request alone shuts the gate.

Now a quick error or reset is only a doubt, which becomes an ejection when another server takes the request; a timeout counts if the wait was fair; a request's quick errors count once for the gate.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -91,6 +91,7 @@
 
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 SHARED_FAULTS = (Result.ERROR, Result.TIMEOUT)
+QUICK_FAULTS = (Result.ERROR, Result.RESET)
 SERVER_FAULTS = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.UNREACHABLE)
 
 
@@ -98,8 +99,8 @@
     """A request, and the connection it becomes."""
 
     __slots__ = (
-        "at", "attempts", "cls", "deadline", "done", "flows", "id", "key", "load", "looks", "midflow", "out",
-        "ran_at", "ran_on", "server", "tenant", "tried", "turn",
+        "at", "attempts", "cls", "deadline", "done", "doubted", "flows", "id", "key", "load", "looks",
+        "midflow", "out", "ran_at", "ran_on", "server", "tenant", "tried", "turn",
     )  # fmt: skip
 
     def __init__(self, request: int, cls: int, deadline: int, load: float) -> None:
@@ -115,6 +116,7 @@
         self.ran_at = 0
         self.ran_on: Server | None = None  # where an attempt may have run first
         self.tried: list[Server] = []
+        self.doubted: list[Server] = []  # turned it away as if at fault, but perhaps it is the request's
         self.looks = 0  # probes it waits for
         self.tenant = 0
         self.key: int | None = None
@@ -360,6 +362,8 @@
             self.failures //= 2
             if self.failures < GATE_AFTER:
                 self.gate_at = 0
+            for doubted in conn.doubted:
+                self._eject(doubted)  # nothing is wrong with a request that another server takes
             if conn.server is not None:
                 conn.server.eject_span = 0
                 conn.server.conns[conn.id] = conn
@@ -372,16 +376,22 @@
     def _on_ended(self, event: api.AttemptEnded) -> None:
         conn = self.conns.get(event.request)
         server = self.fleet.get(event.server)
+        # A request that no server can use fails at each in turn, and one with no time left at any.
+        aim = self.settings.classes[conn.cls].aim_us if conn is not None and not conn.flows else 0
+        quick = event.latency_us < TRY_SHARE * aim
         if server is not None:
             self._take_report(server, event.report, event.latency_us)
-            if event.result in SERVER_FAULTS:
+            if conn is not None and quick and event.result in QUICK_FAULTS:
+                conn.doubted.append(server)
+            elif event.result in SERVER_FAULTS and not (quick and event.result is Result.TIMEOUT):
                 self._eject(server)
             elif event.result is Result.FULL:
                 server.slow_until = self.now + SLOW_US
                 self._reorder(server)
         if conn is None or conn.out != event.attempt:
             return
-        if event.result in SHARED_FAULTS and not conn.flows:
+        once = event.result is Result.ERROR and conn.attempts == 1
+        if event.result in SHARED_FAULTS and not conn.flows and (once or not quick):
             self.failures += 1
             if self.failures >= GATE_AFTER:
                 self._shut_gate()
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from collections.abc import Iterable
 
+import pytest
+
 from larchhaven import interface as api
 from larchhaven.choice import Balancer
 from tests.world import START, arrival, balancer, ended, of, report
@@ -294,3 +296,33 @@
             ratio = 0.1 if probe.server == "s0" else 0.6
             b.handle(now + 1, [api.ProbeResult(probe.server, api.Result.OK, 1, api.Report(ratio=ratio))])
     assert probed == {f"s{i}" for i in range(6)}
+
+
+@pytest.mark.parametrize("result", [api.Result.ERROR, api.Result.RESET])
+def test_request_that_all_turn_away_at_once_casts_out_no_server(result: api.Result) -> None:
+    """Guards sound servers: one bad request once had each that it met ejected, and new set-ups paced."""
+    b = balancer(3)
+    now, server = START, of(api.Send, b.handle(START, [arrival(1)]))[0].server
+    for attempt in range(3):
+        now += 1000
+        sends = of(api.Send, b.handle(now, [ended(1, attempt, server, result)]))
+        server = sends[0].server if sends else server
+    assert [s for s in b.fleet.values() if s.ejected_until > now] == []
+    assert len(of(api.Send, b.handle(now + 1, [arrival(2), arrival(3)]))) == 2
+
+
+def test_server_that_turns_away_what_another_takes_is_cast_out() -> None:
+    b = balancer(3)
+    first = of(api.Send, b.handle(START, [arrival(1)]))[0].server
+    second = of(api.Send, b.handle(START + 1000, [ended(1, 0, first, api.Result.ERROR)]))[0].server
+    assert b.fleet[first].ejected_until <= START + 1000
+    b.handle(START + 2000, [api.Established(1, 1, second, 500)])
+    assert b.fleet[first].ejected_until > START + 2000 >= b.fleet[second].ejected_until
+
+
+def test_request_without_time_proves_nothing_of_its_server() -> None:
+    """Guards against clients that name a deadline no server can keep."""
+    b = balancer(2)
+    server = of(api.Send, b.handle(START, [arrival(1, budget_us=20_000)]))[0].server
+    b.handle(START + 20_000, [api.AttemptEnded(1, 0, server, api.Result.TIMEOUT, 20_000, False)])
+    assert b.fleet[server].ejected_until <= START
