Have the next proxy know where connections stand, for packets that arrive mid-flow

Checked with events and actions in the log: when a proxy stops, 37 standing connections arrive mid-flow at one that has started 50 ms before; it knows no holder, places each like a new one, and the holders' sessions are reset (9.8 attempts a request in that window). Ruled out: the reload itself (lists come within 0.2 s), the drains (no connection was cut off), refusals (none). Lines at fault: choice.py, _on_peer did nothing, and holders held only what this instance itself had seen to go elsewhere.

Now each instance tells the next one in 7 bytes where a connection stands, and again all of them when that one starts; a mid-flow connection that nobody here knows is asked after and waits 100 ms at most. Keys of over 64 bits and waits of over an hour are now ERR. Conclusion: restarts still lose what stands at servers that go, looked at next.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -12,7 +12,9 @@
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
 from functools import partial
+from zlib import crc32
 
 from larchhaven import interface as api
 from larchhaven.interface import Effect, ListKind, Result, Scope, State
@@ -51,16 +53,14 @@
 TRY_SHARE = 0.5
 # A request without a ready server is looked at again this often, in parts of its set-up aim.
 HOLD_SHARE = 0.25
-# A cold server is filled no faster than its present capacity would be over its warm-up,
-# by all instances together.
+# All instances together fill a cold server no faster than its present capacity would be over its warm-up.
 COLD_FILL = 1.0
 # First time out of an ejected server, and the most it grows to by doubling; each is jittered.
 EJECT_US = 2_000_000
 EJECT_MOST_US = 30_000_000
 # With more than this part of the fleet ejected the cause is shared, and ejection is not heeded.
 EJECT_PART = 0.5
-# From this many failed set-ups in a row on, set-ups are paced: by this part of the shortest set-up aim at
-# first, by this multiple of it at the most.
+# From so many failed set-ups in a row on, they are paced: by these multiples of the shortest set-up aim.
 GATE_AFTER = 2
 GATE_SHARE = 0.5
 GATE_MOST = 8
@@ -70,8 +70,7 @@
 RELIEF_FROM = 0.9
 RELIEF_TO = 0.75
 MOVE_SPEND = 0.01
-# Moves show in reports only after the lag, and the moved clients come again only after a while.
-RELIEF_REST = 3
+RELIEF_REST = 3  # times the lag of reports, as moved clients come again only after a while
 # Clients of a draining server are moved within the grace of its drain, or, so that the servers left are not
 # flooded, at most so many times as fast as new ones usually come, but within so many times the grace.
 DRAIN_RUSH = 4.0
@@ -86,6 +85,14 @@
 REFUSE_ALL = 0.85
 # What an arrival is worth is ranked among so many arrivals before it.
 DENSITIES = 32
+# Messages between instances: where connections stand, who knows of one, and that an instance has started.
+HELD, ASKED, STARTED = b"H", b"Q", b"S"
+# So many bytes of a connection's key, hashed, and of its server's id are an entry; so many fit in a message.
+TAG, MARK, TOLD_MOST = 4, 2, 42
+# A mid-flow connection that nobody here knows waits so long for another instance to tell where it stands.
+ASK_US = 100_000
+# So many connections are remembered, the latest told.
+HOLDERS_MOST = 10_000
 # A failed subscription is asked for again after this part of ask_within, doubling up to the whole.
 ASK_SHARE = 0.1
 
@@ -95,68 +102,61 @@
 SERVER_FAULTS = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.UNREACHABLE)
 
 
-class Conn:
-    """A request, and the connection it becomes."""
+def _short(text: str, size: int) -> bytes:
+    return crc32(text.encode()).to_bytes(4, "big")[:size]
 
-    __slots__ = (
-        "at", "attempts", "cls", "deadline", "done", "doubted", "flows", "id", "key", "load", "looks",
-        "midflow", "out", "ran_at", "ran_on", "server", "tenant", "tried", "turn",
-    )  # fmt: skip
-
-    def __init__(self, request: int, cls: int, deadline: int, load: float) -> None:
-        self.id = request
-        self.cls = cls
-        self.deadline = deadline
-        self.load = load
-        self.attempts = 0
-        self.out: int | None = None  # the attempt that is out, if any
-        self.server: Server | None = None  # where it is out to
-        self.flows = False
-        self.done = False  # answered; kept only until its attempt ends
-        self.ran_at = 0
-        self.ran_on: Server | None = None  # where an attempt may have run first
-        self.tried: list[Server] = []
-        self.doubted: list[Server] = []  # turned it away as if at fault, but perhaps it is the request's
-        self.looks = 0  # probes it waits for
-        self.tenant = 0
-        self.key: int | None = None
-        self.midflow = False
-        self.at: str | None = None  # the only server that will do
-        self.turn = 0  # counts its waits, so that a stale timer does not end a later one
 
+@dataclass(slots=True, eq=False)
+class Conn:
+    """A request, and the connection it becomes."""
 
+    id: int
+    cls: int
+    deadline: int
+    load: float
+    tag: bytes = b""  # of its key, if it has one
+    midflow: bool = False
+    at: str | None = None  # the only server that will do
+    attempts: int = 0
+    out: int | None = None  # the attempt that is out, if any
+    server: Server | None = None  # where it is out to
+    flows: bool = False
+    done: bool = False  # answered; kept only until its attempt ends
+    ran_at: int = 0
+    ran_on: Server | None = None  # where an attempt may have run first
+    tried: list[Server] = field(default_factory=list)
+    doubted: list[Server] = field(default_factory=list)  # perhaps not they but the request is at fault
+    looks: int = 0  # probes it waits for
+    turn: int = 0  # counts its waits, so that a stale timer does not end a later one
+
+
+@dataclass(slots=True, eq=False)
 class Server:
     """What this instance knows of one server."""
 
-    __slots__ = (
-        "cell", "conns", "eject_span", "ejected_until", "entry", "id", "moved_until", "open_at", "own",
-        "ranked_at", "ratio", "recent", "relief_at", "report_at", "slow_until", "started_at", "state", "tie",
-        "told_at", "warm_at", "weight", "zone",
-    )  # fmt: skip
-
-    def __init__(self, entry: api.ServerEntry, tie: float) -> None:
-        self.id = entry.server
-        self.zone = entry.zone
-        self.cell = entry.cell
-        self.weight = max(entry.weight, 1e-3)
-        self.state = State.GONE
-        self.started_at = -1  # unlike any that a list tells
-        self.entry: tuple[float, float, Server] | None = None  # its place in the ranking, if ready
-        self.tie = tie  # orders exact ties at random, differently at each instance
-        self.ranked_at = 0
-        self.ratio: float | None = None  # load over capacity as last reported
-        self.report_at = 0
-        self.slow_until = 0
-        self.conns: dict[int, Conn] = {}  # own connections that flow
-        self.relief_at = 0  # no probe for a jam before
-        self.moved_until = 0  # moves from here do not show yet
-        self.own = 0.0  # own load added since that report
-        self.recent: list[tuple[int, float]] = []
-        self.eject_span = 0
-        self.ejected_until = 0
-        self.warm_at = 0
-        self.told_at = 0  # when the list first told that it drains or is gone
-        self.open_at = 0  # while cold, closed to this instance until then
+    id: str
+    tie: float  # orders exact ties at random, differently at each instance
+    mark: bytes  # short for its id, the same at all instances
+    zone: int = 0
+    cell: int = 0
+    weight: float = 1.0
+    state: State = State.GONE
+    started_at: int = -1  # unlike any that a list tells
+    entry: tuple[float, float, Server] | None = None  # its place in the ranking, if ready
+    ranked_at: int = 0
+    ratio: float | None = None  # load over capacity as last reported
+    report_at: int = 0
+    slow_until: int = 0
+    conns: dict[int, Conn] = field(default_factory=dict)  # own connections that flow
+    relief_at: int = 0  # no probe for a jam before
+    moved_until: int = 0  # moves from here do not show yet
+    own: float = 0.0  # own load added since that report
+    recent: list[tuple[int, float]] = field(default_factory=list)
+    eject_span: int = 0
+    ejected_until: int = 0
+    warm_at: int = 0
+    told_at: int = 0  # when the list first told that it drains or is gone
+    open_at: int = 0  # while cold, closed to this instance until then
 
 
 class Balancer:
@@ -173,7 +173,9 @@
         self.ranking: list[tuple[float, float, Server]] = []  # ready servers, lowest ratio first
         self.ranked_at = 0
         self.ejected: list[Server] = []
-        self.holders: dict[int, tuple[Server, int]] = {}  # by key, and until when a server keeps it
+        self.holders: dict[bytes, bytes] = {}  # marks of servers by tags of the connections that stand there
+        self.marks: dict[bytes, Server] = {}
+        self.tells = settings.can_tell and settings.pass_through and settings.instances > 1
         self.timers: dict[int, Callable[[], None]] = {}
         self.next_token = 1
         self.class_load = [FIRST_LOAD] * len(settings.classes)
@@ -185,7 +187,6 @@
         self.unseen = 0.0  # own changes of load that no report contains yet, over all servers
         self.weight = 0.0  # of all ready servers
         self.densities: deque[float] = deque(maxlen=DENSITIES)
-        self.tenant_open = [0] * len(settings.tenants)
         self.ratio_sum = 0.0
         self.ratio_weight = 0.0
         self.waiting: dict[str, list[Conn]] = {}  # requests that wait for a probe of this server
@@ -220,6 +221,8 @@
             if self.settings.subscribe:
                 # Instances that start together must not call the list service in step.
                 self._after(self.rng.random() * ASK_SHARE * self.settings.ask_within_us, self._subscribe)
+            if self.tells:
+                self.actions.append(api.Tell((self.settings.index - 1) % self.settings.instances, STARTED))
         for event in events:
             self.handlers[type(event)](event)
         return self.actions
@@ -234,7 +237,10 @@
         self.move_credit += self.moves_each
         if conn.at is not None or self._holder(conn) is not None:
             self._place(conn)
-        elif self._refuses(conn, event.tenant):
+        elif conn.midflow and conn.tag and self.tells:
+            self.actions.append(api.Tell(None, ASKED + conn.tag))
+            self._hold(conn, ASK_US)
+        elif self._refuses(conn):
             self._give_up(conn)
             self._refresh()
         elif self.now < self.gate_at:
@@ -246,9 +252,8 @@
     def _admit(self, event: api.Arrival) -> Conn:
         cls = min(max(event.cls, 0), len(self.settings.classes) - 1)
         load = self.class_load[cls] if event.load is None else event.load
-        conn = Conn(event.request, cls, self.now + event.budget_us, load)
-        conn.tenant = event.tenant
-        conn.key, conn.midflow, conn.at = event.key, event.midflow, event.at
+        tag = b"" if event.key is None else _short(str(event.key), TAG)
+        conn = Conn(event.request, cls, self.now + event.budget_us, load, tag, event.midflow, event.at)
         self.conns[conn.id] = conn
         return conn
 
@@ -258,7 +263,6 @@
         conn.server = self.fleet.get(event.server)
         if conn.server is not None:
             conn.server.conns[conn.id] = conn
-        self._count_tenant(conn, 1)
 
     def _place(self, conn: Conn) -> None:
         """Send a request to its server now, hold it for one, or answer it when its time or tries are up."""
@@ -302,10 +306,8 @@
         if conn.at is not None:
             pinned = self.fleet.get(conn.at)
             return None if pinned is None or pinned.state is State.GONE else pinned
-        if not conn.midflow or conn.attempts or conn.key is None:
-            return None
-        server, until = self.holders.get(conn.key, (None, 0))
-        if server is None or until < self.now or server.state is State.GONE:
+        server = self.marks.get(self.holders.get(conn.tag, b""))
+        if not conn.midflow or conn.attempts or server is None or server.state is State.GONE:
             return None
         graced = self.now < server.told_at + self.settings.drain_grace_us - self.settings.tick_us
         return server if server.state is State.READY or graced else None
@@ -367,11 +369,14 @@
             if conn.server is not None:
                 conn.server.eject_span = 0
                 conn.server.conns[conn.id] = conn
+                if conn.tag:
+                    # The next instance knows it too, should this one end without a word.
+                    self._remember(conn.tag, conn.server.mark)
+                    self._tell_held((self.settings.index + 1) % self.settings.instances, [conn.tag])
                 if conn.server.state is State.DRAINING:
                     self._clear(conn.server, [conn])
             if self.leave_by:
                 self._leave(conn)
-            self._count_tenant(conn, 1)
 
     def _on_ended(self, event: api.AttemptEnded) -> None:
         conn = self.conns.get(event.request)
@@ -395,13 +400,8 @@
             self.failures += 1
             if self.failures >= GATE_AFTER:
                 self._shut_gate()
-        if conn.flows:
-            self._count_tenant(conn, -1)
         if conn.server is not None:
             conn.server.conns.pop(conn.id, None)
-            if conn.flows and conn.key is not None and event.result is Result.CANCELLED:
-                # Perhaps its packets only go through another instance; its server keeps it for park_us.
-                self.holders[conn.key] = (conn.server, self.now + self.settings.park_us)
             self._add_own(conn.server, -conn.load)
             if event.result in MAY_HAVE_RUN and conn.ran_on is None:
                 conn.ran_on, conn.ran_at = conn.server, self.now - event.latency_us
@@ -446,8 +446,7 @@
     def _clear(self, server: Server, conns: Sequence[Conn]) -> None:
         """Move connections off a draining server before it leaves and cuts them off.
 
-        Each goes at a time of its own within the span: instances that learn of a drain together, and all the
-        clients of one server, must not come to the others at once. Its own polite ends only help.
+        Each goes at a time of its own within the span: they must not come to the others all at once.
         """
         self._drop_arrivals()
         grace, usual = self.settings.drain_grace_us, max(len(self.arrivals), 1) / RATE_SPAN_US
@@ -467,8 +466,7 @@
                 self._leave(conn)
 
     def _leave(self, conn: Conn) -> None:
-        left = max(self.leave_by - self.now, 0)
-        self._after(self.rng.random() * left, partial(self._move, conn))
+        self._after(self.rng.random() * max(self.leave_by - self.now, 0), partial(self._move, conn))
 
     def _move(self, conn: Conn) -> None:
         if conn.flows and not conn.done:
@@ -481,8 +479,8 @@
     def _relieve(self, server: Server) -> None:
         """Move own connections off a jammed server: the one exception to staying put, bounded and priced.
 
-        Each instance moves its part of what the server cannot do, heaviest first, so that all of them
-        together bring it down to the mean; where that is too high, nothing would be gained.
+        Each instance moves its part of what the server cannot do, heaviest first; all together that brings it
+        down to the mean.
         """
         ratio, goal = server.ratio, max(self._mean(), RELIEF_TO)
         if ratio is None or ratio <= RELIEF_FROM or goal >= RELIEF_FROM:
@@ -524,8 +522,7 @@
             self.ask_span = min(max(2 * self.ask_span, int(ASK_SHARE * most)), most)
             self._after(self.ask_span * (0.5 + self.rng.random()) / 1.5, self._subscribe)
             return
-        if event.kind is not ListKind.REMEMBERED:
-            self.ask_span = 0
+        self.ask_span = 0
         if event.kind is not ListKind.CHANGES:
             named = {entry.server for entry in event.entries}
             for server in self.fleet.values():
@@ -540,7 +537,8 @@
     def _list_entry(self, entry: api.ServerEntry) -> Server:
         server = self.fleet.get(entry.server)
         if server is None:
-            server = self.fleet[entry.server] = Server(entry, self.rng.random())
+            server = Server(entry.server, self.rng.random(), _short(entry.server, MARK))
+            self.fleet[server.id] = self.marks[server.mark] = server
         restarted = entry.started_at > server.started_at
         drains = entry.state is State.DRAINING and server.state is not State.DRAINING
         if entry.state is not State.READY and server.state is State.READY:
@@ -582,11 +580,7 @@
     def _refresh(self) -> None:
         """Probe the server with the oldest report, as looks go to the lowest alone, and refusals to none.
 
-        A server out of sight is relieved only when a report tells that it is jammed: where answers do not
-        tell it too, its connections sat there to the end of the jam.
-
-        Refusals rest on reports. Where nothing is placed nothing was probed either: a fleet once reported as
-        full stayed so to this instance, and it refused everybody long after the jam was over.
+        Only a report tells of a jam that no answer shows, and that a fleet once full is so no more.
         """
         idle = [e[2] for e in self.ranking if e[2].id not in self.waiting and e[2].ejected_until <= self.now]
         if idle and self.probe_credit >= 1:
@@ -640,8 +634,32 @@
         self.unseen += load
         self._reorder(server)
 
+    # What instances tell each other
+
+    def _remember(self, tag: bytes, mark: bytes) -> None:
+        self.holders.pop(tag, None)
+        self.holders[tag] = mark
+        if len(self.holders) > HOLDERS_MOST:
+            del self.holders[next(iter(self.holders))]
+
+    def _tell_held(self, peer: int, tags: Sequence[bytes]) -> None:
+        entries = [tag + self.holders[tag] for tag in tags if tag in self.holders]
+        for first in range(0, len(entries) if self.tells else 0, TOLD_MOST):
+            self.actions.append(api.Tell(peer, HELD + b"".join(entries[first : first + TOLD_MOST])))
+
     def _on_peer(self, event: api.PeerMessage) -> None:
-        """Instances tell each other nothing; each keeps the rules alone."""
+        """Learn where connections stand, or tell it; one that has started knows of none."""
+        kind, body = event.data[:1], event.data[1:]
+        if kind == ASKED:
+            self._tell_held(event.sender, [body])
+        elif kind == STARTED:
+            self._tell_held(event.sender, [conn.tag for conn in self.conns.values() if conn.flows])
+        elif kind == HELD:
+            for at in range(0, len(body) - TAG - MARK + 1, TAG + MARK):
+                self._remember(body[at : at + TAG], body[at + TAG : at + TAG + MARK])
+            for conn in list(self.conns.values()):
+                if conn.midflow and not conn.attempts and conn.tag in self.holders:
+                    self._resume_held(conn)
 
     # Ratio and choice
 
@@ -681,14 +699,12 @@
             server.ranked_at = self.now
         self.ranking = sorted(s.entry for s in self.fleet.values() if s.entry is not None)
         self.ranked_at = self.now
-        self.holders = {key: held for key, held in self.holders.items() if held[1] >= self.now}
 
     def _band(self, conn: Conn) -> tuple[list[Server], list[float]]:
         """The near-tie band of the lowest ratios, and the share of each server in it.
 
         All instances read the same late reports and would flood the lowest server together. The load
-        expected of the others within that time is poured over the lowest ratios as water would settle; a
-        server's share is what it would take. With no others, or none placing, the band is the lowest ratio.
+        expected of the others meanwhile is poured over the lowest ratios as water would settle.
         """
         now = self.now
         if now - self.ranked_at > STALE_US:
@@ -759,8 +775,7 @@
     def _shut_gate(self) -> None:
         """Pace set-ups while one after the other fails, wherever it goes.
 
-        A shared dependency that is slow fails the set-ups of all servers; tries at once, by all instances and
-        their clients, then keep it down. The span doubles with each failure and is jittered.
+        A shared dependency that is slow fails the set-ups of all servers; tries at once then keep it down.
         """
         least = min(c.aim_us for c in self.settings.classes)
         span = min(least * GATE_SHARE * 2 ** min(self.failures - GATE_AFTER, 20), GATE_MOST * least)
@@ -768,23 +783,15 @@
 
     # Admission
 
-    def _count_tenant(self, conn: Conn, change: int) -> None:
-        if conn.tenant < len(self.tenant_open):
-            self.tenant_open[conn.tenant] += change
-
     def _fleet_ratio(self) -> float:
         """Load over capacity of the whole fleet: reports, and what all instances have placed since."""
         unseen = self.settings.instances * self.unseen / self.weight if self.weight else 0.0
         return self._mean() + unseen
 
-    def _refuses(self, conn: Conn, tenant: int) -> bool:
-        """Refuse early rather than jam: the least worth for its load first, and traffic beyond a share."""
+    def _refuses(self, conn: Conn) -> bool:
+        """Refuse early rather than jam: the least worth for its load first."""
         cls = self.settings.classes[conn.cls]
         density = cls.worth if self.settings.worth_by_work else cls.worth / max(conn.load, 1e-6)
-        if tenant < len(self.settings.tenants):
-            quota = self.settings.tenants[tenant].quota_connections
-            if quota and self.tenant_open[tenant] * self.settings.instances > quota:
-                density *= self.settings.over_share_worth
         below = sum((d < density) + 0.5 * (d == density) for d in self.densities)
         rank = below / len(self.densities) if self.densities else 1.0
         self.densities.append(density)
@@ -793,9 +800,8 @@
     def _close_cold(self, server: Server, connections: float) -> None:
         """Rule 4: take so many connections from this instance's fair part of a cold server's budget.
 
-        All instances together fill it no faster than COLD_FILL times what it can do, which grows evenly from
-        cold_from to all of it over its warm-up. The server is closed to this instance until the integral of
-        its part, a token bucket without a store, has paid for the connections.
+        What it can do grows evenly from cold_from to all of it over its warm-up. The server is closed to this
+        instance until the integral of its part, a token bucket without a store, has paid for the connections.
         """
         if server.warm_at <= self.now:
             return
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -21,8 +21,6 @@
 NOTE_US = 1_000_000
 # A drained instance is closed to new executions a little before its grace ends: the bytes take time.
 GRACE_MARGIN_US = 150_000
-# The longest wait that is believed of a client.
-WAIT_MOST_US = 3_600_000_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,7 +178,6 @@
         wait = wants.wait_us
         if wait is None:
             wait = self._settings.classes[wants.cls].deadline_us
-        wait = min(wait, WAIT_MOST_US)
         command = Command(client, wants, self._loop.now + wait)
         token = self._commands.add(command)
         if wants.identity:
--- a/larchhaven/net/lines.py
+++ b/larchhaven/net/lines.py
@@ -10,6 +10,8 @@
 from larchhaven.net.buffers import Buffer
 
 LONGEST = 4096
+# A client that says it will wait for longer than an hour is not believed.
+WAIT_MOST_MS = 3_600_000
 END = b"\r\n"
 PING = b"PING" + END
 PONG = b"PONG" + END
@@ -45,7 +47,7 @@
 
 def _whole(text: bytes, base: int, what: str) -> int:
     # int() would take signs, blanks and underscores, none of which the protocol has.
-    if not text.isalnum() or len(text) > 32:
+    if not text.isalnum() or len(text) > 16:
         raise BadLineError(f"{what} is not a number")
     try:
         return int(text, base)
@@ -83,6 +85,9 @@
     cls = classes.get(fields.get(b"c", b"").decode("utf-8", "replace"))
     if cls is None:
         raise BadLineError("the class is unknown")
+    wait_ms = _whole(fields[b"d"], 10, "d") if b"d" in fields else None
+    if wait_ms is not None and wait_ms > WAIT_MOST_MS:
+        raise BadLineError("d is too long")
     load = fields.get(b"h")
     at = fields.get(b"at")
     return Wants(
@@ -90,7 +95,7 @@
         identity=parts[1],
         key=_whole(parts[2], 16, "the key"),
         cls=cls,
-        wait_us=_whole(fields[b"d"], 10, "d") * 1000 if b"d" in fields else None,
+        wait_us=None if wait_ms is None else wait_ms * 1000,
         group=_whole(fields[b"g"], 16, "g") if b"g" in fields else None,
         load=None if load is None else _share(load, "h") * 1e-6,
         retry=_maybe_flag(fields, b"r"),
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -90,11 +90,20 @@
 class Proxy:
     """The program as a process, with so many instances that the test plays."""
 
-    def __init__(self, folder: Path, instances: int = 2, sockets: int = 1024, **settings: Any) -> None:
-        self.instances = [listener() for _ in range(instances)]
+    def __init__(self, folder: Path, servers: int = 2, sockets: int = 1024, **settings: Any) -> None:
+        self.instances = [listener() for _ in range(servers)]
         self.discovery = listener()
         self.configuration = self.config(**settings)
         self.configuration["limits"]["sockets"] = sockets
+        if "instances" in settings:
+            # The test plays the second proxy; the first one's port is free a moment before it starts.
+            self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            self.peer.bind(("127.0.0.1", 0))
+            self.peer.settimeout(PATIENCE)
+            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
+                free.bind(("127.0.0.1", 0))
+                own = dial(free)
+            self.configuration |= {"peer_listen": own, "peers": [own, dial(self.peer)]}
         self.path = path = folder / "config.json"
         path.write_text(json.dumps(self.configuration))
         self.process = subprocess.Popen(
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from dataclasses import replace
 
 import pytest
 
 from larchhaven import interface as api
 from larchhaven.choice import Balancer
-from tests.world import START, arrival, balancer, ended, of, report
+from tests.world import PLAIN, START, arrival, balancer, ended, fleet, of, report
 
 
 def test_lowest_reported_ratio_is_taken() -> None:
@@ -326,3 +327,70 @@
     server = of(api.Send, b.handle(START, [arrival(1, budget_us=20_000)]))[0].server
     b.handle(START + 20_000, [api.AttemptEnded(1, 0, server, api.Result.TIMEOUT, 20_000, False)])
     assert b.fleet[server].ejected_until <= START
+
+
+FLOW = replace(arrival(9), key=0x7F3A9C21E0B4D655, midflow=True)
+
+
+def pair() -> tuple[Balancer, Balancer]:
+    """Make the two instances of a site where packets pass through, with the same three servers."""
+    made = [
+        Balancer(replace(PLAIN, pass_through=True, can_tell=True, instances=2, index=i), seed=1)
+        for i in (0, 1)
+    ]
+    for b in made:
+        assert of(api.Tell, b.handle(START, [fleet(3)]))[0].data == b"S"
+    return made[0], made[1]
+
+
+def deliver(sender: int, actions: Iterable[object]) -> list[api.PeerMessage]:
+    return [api.PeerMessage(sender, tell.data) for tell in of(api.Tell, actions)]
+
+
+def stand(b: Balancer, request: int) -> tuple[str, Sequence[api.Action]]:
+    """Bring up a connection with the key of the flow; return its server and what is said of it."""
+    sent = of(api.Send, b.handle(START + 1, [replace(FLOW, request=request, midflow=False)]))[0]
+    return sent.server, b.handle(START + 2, [api.Established(request, 0, sent.server, 500)])
+
+
+@pytest.mark.parametrize("how", ["told", "asked", "told at the start"])
+def test_packets_that_come_through_another_instance_find_their_server(how: str) -> None:
+    """Guards connections at a restart: they came mid-flow to one that knew nothing, and were reset."""
+    first, second = pair()
+    server, said = stand(first, 1)
+    assert [tell.peer for tell in of(api.Tell, said)] == [1]
+    if how == "told":
+        second.handle(START + 3, deliver(0, said))
+    if how == "told at the start":
+        second.handle(START + 3, deliver(0, first.handle(START + 3, [api.PeerMessage(1, b"S")])))
+    actions = second.handle(START + 4, [FLOW])
+    if how == "asked":
+        assert of(api.Send, actions) == []
+        actions = second.handle(START + 6, deliver(0, first.handle(START + 5, deliver(1, actions))))
+    assert [send.server for send in of(api.Send, actions)] == [server]
+
+
+def test_flow_that_nobody_knows_waits_a_little_and_is_placed_like_a_new_one() -> None:
+    _, second = pair()
+    actions = second.handle(START + 4, [FLOW])
+    wait = of(api.SetTimer, actions)[-1]
+    assert of(api.Send, actions) == [] and wait.delay_us <= 150_000
+    assert len(of(api.Send, second.handle(START + 200_000, [api.TimerFired(wait.token)]))) == 1
+
+
+@pytest.mark.parametrize("data", [b"", b"?", b"Q", b"Qxxxx", b"Q" + 255 * b"x", b"H", b"H12345", b"\0" * 256])
+def test_strange_message_from_a_peer_does_no_harm(data: bytes) -> None:
+    _, second = pair()
+    assert of(api.Tell, second.handle(START + 3, [api.PeerMessage(0, data)])) == []
+    second.handle(START + 4, [FLOW])
+
+
+def test_standing_connections_are_told_in_messages_that_a_datagram_holds() -> None:
+    first, second = pair()
+    for request in range(100):
+        first.handle(START, [replace(FLOW, request=request, key=request, midflow=False, load=1e-4)])
+        first.handle(START, [api.Established(request, 0, "s0", 500)] if request else [])
+    messages = deliver(0, first.handle(START + 3, [api.PeerMessage(1, b"S")]))
+    assert len(messages) == 3 and max(len(message.data) for message in messages) <= 256
+    second.handle(START + 4, messages)
+    assert len(second.holders) == 99
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -105,7 +105,7 @@
     assert client.line() == "UP 2"
 
 
-@pytest.mark.parametrize("proxy", [{"instances": 0}], indirect=True)
+@pytest.mark.parametrize("proxy", [{"servers": 0}], indirect=True)
 def test_command_without_an_instance_is_refused(proxy: Proxy) -> None:
     client = proxy.client(opening("c=chat,d=300,g=ab"))
     assert client.line().startswith("BUSY")
@@ -136,6 +136,7 @@
         b"HELLO\r\n", b"\r\n", b"OPEN 1 2\r\n", b"OPEN 1 2 c=none,d=1\r\n", b"OPEN 1 zz c=chat,d=1\r\n",
         b"OPEN 1 2 c=chat,d=-5\r\n", b"OPEN 1 2 c=chat,d=x\r\n", b"OPEN 1 2 c\r\n", b"\x00\xff\xfe\r\n",
         b"OPEN 1 2 c=chat,d=99999999999999999999999999999999999\r\n", b"x" * 4096, b"x" * 20000,
+        b"OPEN 1 2 c=chat,d=99999999999\r\n", b"OPEN 1 22222222222222222 c=chat,d=5\r\n",
         b"OPEN 1 2 c=chat,h=nan\r\n", "OPEN 1 2 c=çay,d=5\r\n".encode(), b"STATS\r\n",
     ],
 )  # fmt: skip
@@ -224,6 +225,23 @@
         instance = proxy.accept(proxy.instances[number])
 
 
+@pytest.mark.parametrize("proxy", [{"instances": 2}], indirect=True)
+@pytest.mark.parametrize("number", [0, 1])
+def test_other_proxies_are_told_and_asked_where_a_connection_stands(proxy: Proxy, number: int) -> None:
+    """Guards connections whose proxy ends: their packets come to one that did not place them."""
+    assert proxy.peer.recv(300) == b"S"
+    proxy.opened(f"{PLAIN},at=s{number}")
+    told, own = proxy.peer.recvfrom(300)
+    unknown = opening(f"{PLAIN},mid=1").replace("7f3a9c21", "00000000")
+    client = proxy.client(unknown)
+    asked = proxy.peer.recv(300)
+    assert asked[:1] == b"Q" and told[:1] == b"H" and len(told) == len(asked) + 2
+    proxy.peer.sendto(b"H" + asked[1:] + told[-2:], own)
+    instance = proxy.accept(proxy.instances[number])
+    assert "mid=1" in instance.line()
+    client.close()
+
+
 def test_silent_connection_is_moved(proxy: Proxy) -> None:
     """Guards against connections that sit on a hung instance, which keeps them open and says nothing."""
     client, instance = proxy.opened()
@@ -356,7 +374,7 @@
     assert "configuration reloaded" in proxy.log_line()
 
 
-@pytest.mark.parametrize("proxy", [{"instances": 1, "policy_limits": {"probes": True}}], indirect=True)
+@pytest.mark.parametrize("proxy", [{"servers": 1, "policy_limits": {"probes": True}}], indirect=True)
 @pytest.mark.parametrize("answer", ["PONG x0=0.4,util=0.3,qps=9", "ERR", "BUSY", "NO", "\x00", "end"])
 def test_any_answer_to_a_probe_lets_the_command_go_on(proxy: Proxy, answer: str) -> None:
     client = proxy.client(opening(PLAIN))
