Refuse by the median report, let a failing server back later, forget gone load

Checked with events, actions and whole reports in the log: two jammed servers lift the mean to 0.8, from 0.6 on of which arrivals are refused; the time out of a server never grows, as any connection that comes up there sets it back. Ruled out: late lists (gone is told within 0.4 s), the sockets (no answer of theirs was late). Found beside it: the end of a connection on a server that is gone is taken off the fleet's load for good, once a report had counted it in. Lines at fault: choice.py, _fleet_ratio (mean), _on_established (eject_span = 0), _list_entry and _add_own (load of servers that are gone).

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -25,8 +25,7 @@
 # Points of service (as a fraction) that each request may spend on probes; the settings give the price of one.
 PROBE_SPEND = 0.006
 # Bounds of probes for each request, for prices that are nothing or prohibitive.
-PROBES_MOST = 8
-PROBES_LEAST = 1
+PROBES_LEAST, PROBES_MOST = 1, 8
 # Load of a connection before any hint or note has told: about 25 to a standard core.
 FIRST_LOAD = 0.04
 # Weight of a new sample in learned means.
@@ -36,8 +35,7 @@
 # A report loses half of what it tells in this time: connections come, go and change on such a scale. The
 # whole ranking is made anew as often; the lowest are looked at for their age whenever a choice is made.
 STALE_US = 10_000_000
-HEAD = 8
-HEAD_FRESH_US = 1_000_000
+HEAD, HEAD_FRESH_US = 8, 1_000_000
 # A server of another zone stands higher by this multiple of the price of a crossing: a near-tie goes to
 # the own zone, a plain difference in ratio does not.
 ZONE_BAND = 3
@@ -55,15 +53,16 @@
 HOLD_SHARE = 0.25
 # All instances together fill a cold server no faster than its present capacity would be over its warm-up.
 COLD_FILL = 1.0
-# First time out of an ejected server, and the most it grows to by doubling; each is jittered.
+# First time out of an ejected server, the most it grows to by doubling, and how long it must be back for the
+# next to be a first one again; each is jittered.
 EJECT_US = 2_000_000
 EJECT_MOST_US = 30_000_000
+PROVEN_US = 10_000_000
 # With more than this part of the fleet ejected the cause is shared, and ejection is not heeded.
 EJECT_PART = 0.5
 # From so many failed set-ups in a row on, they are paced: by these multiples of the shortest set-up aim.
 GATE_AFTER = 2
-GATE_SHARE = 0.5
-GATE_MOST = 8
+GATE_SHARE, GATE_MOST = 0.5, 8
 # Relief: connections of a server whose report is above the first ratio, where messages are late, are moved
 # down to the fleet's mean, or to the second ratio if that is higher, while so many points of service for each
 # request may be spent on moves.
@@ -153,7 +152,7 @@
     own: float = 0.0  # own load added since that report
     recent: list[tuple[int, float]] = field(default_factory=list)
     eject_span: int = 0
-    ejected_until: int = 0
+    ejected_until: int = -PROVEN_US
     warm_at: int = 0
     told_at: int = 0  # when the list first told that it drains or is gone
     open_at: int = 0  # while cold, closed to this instance until then
@@ -197,20 +196,13 @@
         self.move_credit = 0.0
         self.leave_by = 0  # when this instance stops, the last of its connections is to be moved by then
         self.handlers: dict[type, Callable[..., None]] = {
-            api.Arrival: self._on_arrival,
-            api.Resumed: self._on_resumed,
-            api.TimerFired: self._on_timer,
-            api.FleetList: self._on_list,
-            api.ProbeResult: self._on_probe,
-            api.PeerMessage: self._on_peer,
-            api.LoadNote: self._on_load_note,
-            api.DelayNote: self._on_delay_note,
-            api.Stalled: self._on_stalled,
-            api.Leaving: self._on_leaving,
-            api.ClientGone: self._on_client_gone,
-            api.Established: self._on_established,
+            api.Arrival: self._on_arrival, api.Resumed: self._on_resumed, api.TimerFired: self._on_timer,
+            api.FleetList: self._on_list, api.ProbeResult: self._on_probe, api.PeerMessage: self._on_peer,
+            api.LoadNote: self._on_load_note, api.DelayNote: self._on_delay_note,
+            api.Stalled: self._on_stalled, api.Leaving: self._on_leaving,
+            api.ClientGone: self._on_client_gone, api.Established: self._on_established,
             api.AttemptEnded: self._on_ended,
-        }
+        }  # fmt: skip
 
     def handle(self, now: int, events: Iterable[api.Event]) -> Sequence[api.Action]:
         """Take the events of one moment and return the actions they call for, in order."""
@@ -367,7 +359,6 @@
             for doubted in conn.doubted:
                 self._eject(doubted)  # nothing is wrong with a request that another server takes
             if conn.server is not None:
-                conn.server.eject_span = 0
                 conn.server.conns[conn.id] = conn
                 if conn.tag:
                     # The next instance knows it too, should this one end without a word.
@@ -528,7 +519,7 @@
             for server in self.fleet.values():
                 if server.id not in named:
                     server.state = State.GONE
-                    self._forget_report(server)
+                    self._forget_load(server)
                     self._reorder(server)
         for entry in event.entries:
             self._reorder(self._list_entry(entry))
@@ -547,13 +538,13 @@
         if drains:
             self._clear(server, list(server.conns.values()))
         if entry.state is State.GONE:
-            self._forget_report(server)
+            self._forget_load(server)
         if server.weight != max(entry.weight, 1e-3):
             self._forget_report(server)
             server.weight = max(entry.weight, 1e-3)
         if restarted:
             server.started_at = entry.started_at
-            self._forget_report(server)
+            self._forget_load(server)
             server.warm_at = entry.started_at + self.settings.cold_us if entry.started_at else 0
             # A fair part of a cold server is often under one connection for each instance: a random
             # phase keeps all of them from sending their first one together.
@@ -617,9 +608,8 @@
         server.ratio, server.report_at = ratio, self.now
         seen = self.now - REPORT_LAG_US - latency_us
         server.recent = [change for change in server.recent if change[0] > seen]
-        self.unseen -= server.own
-        server.own = sum(load for _, load in server.recent)
-        self.unseen += server.own
+        own = sum(load for _, load in server.recent)
+        server.own, self.unseen = own, self.unseen - server.own + own
         self._reorder(server)
 
     def _forget_report(self, server: Server) -> None:
@@ -628,7 +618,14 @@
             self.ratio_weight -= server.weight
             server.ratio = None
 
+    def _forget_load(self, server: Server) -> None:
+        self._forget_report(server)
+        self.unseen, server.own = self.unseen - server.own, 0.0
+        server.recent.clear()
+
     def _add_own(self, server: Server, load: float) -> None:
+        if server.state is State.GONE:
+            return  # no report will ever contain it
         server.recent.append((self.now, load))
         server.own += load
         self.unseen += load
@@ -763,7 +760,8 @@
         """Outlier ejection, with jitter so that instances do not all come back at once."""
         if server.ejected_until > self.now:
             return
-        server.eject_span = min(max(2 * server.eject_span, EJECT_US), EJECT_MOST_US)
+        again = self.now < server.ejected_until + PROVEN_US
+        server.eject_span = min(2 * server.eject_span, EJECT_MOST_US) if again else EJECT_US
         self.ejected.append(server)
         server.ejected_until = self.now + int(server.eject_span * (0.5 + self.rng.random()))
 
@@ -784,9 +782,13 @@
     # Admission
 
     def _fleet_ratio(self) -> float:
-        """Load over capacity of the whole fleet: reports, and what all instances have placed since."""
+        """Load over capacity of the whole fleet: reports, and what all instances have placed since.
+
+        A few jammed servers say nothing of the others: then the median is what a new connection meets.
+        """
         unseen = self.settings.instances * self.unseen / self.weight if self.weight else 0.0
-        return self._mean() + unseen
+        told = sorted(s.ratio for s in self.fleet.values() if s.ratio is not None)
+        return min(self._mean(), told[len(told) // 2] if told else 0.0) + unseen
 
     def _refuses(self, conn: Conn) -> bool:
         """Refuse early rather than jam: the least worth for its load first."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -10,7 +10,7 @@
 
 from larchhaven import interface as api
 from larchhaven.choice import Balancer
-from tests.world import PLAIN, START, arrival, balancer, ended, fleet, of, report
+from tests.world import PLAIN, START, arrival, balancer, ended, entries, fleet, of, report
 
 
 def test_lowest_reported_ratio_is_taken() -> None:
@@ -394,3 +394,49 @@
     assert len(messages) == 3 and max(len(message.data) for message in messages) <= 256
     second.handle(START + 4, messages)
     assert len(second.holders) == 99
+
+
+def test_one_jammed_server_makes_nobody_refuse_what_the_others_can_take() -> None:
+    """Guards against refusals by the mean: one jammed server once had half of all arrivals refused."""
+    b = balancer(5)
+    b.handle(START, [report(0, 2.0), *(report(i, 0.55) for i in range(1, 5))])
+    b.handle(START, [api.Arrival(i, 0, 1_200_000, load=0.001) for i in range(40)])
+    heavy = b.handle(START + 1, [arrival(99, load=0.002)])  # the least worth for its load
+    assert [send.request for send in of(api.Send, heavy)] == [99]
+    b.handle(START + 2, [report(i, 0.9) for i in range(5)])
+    assert of(api.Refuse, b.handle(START + 3, [arrival(100, load=0.002)]))
+
+
+def test_server_that_fails_again_soon_stays_out_for_longer() -> None:
+    """Guards against a sick server that was let in every two seconds, as one connection had stood between."""
+    b = balancer(3)
+    server, now, spans = b.fleet["s0"], START, []
+    for pause in (0, 1_000_000, 1_000_000, 30_000_000):
+        now = max(server.ejected_until, now) + pause
+        b.handle(now, [api.ProbeResult("s0", api.Result.TIMEOUT, 500_000)])
+        spans.append(server.eject_span)
+        conn = b._admit(arrival(now))
+        conn.out, conn.server = 0, server
+        b.handle(now, [api.Established(now, 0, "s0", 500)])
+    assert spans == [2_000_000, 4_000_000, 8_000_000, 2_000_000]
+
+
+@pytest.mark.parametrize(
+    "gone",
+    [
+        api.FleetList(api.ListKind.COMPLETE, 2, ()),
+        api.FleetList(api.ListKind.CHANGES, 2, entries(2, state=api.State.GONE)),
+    ],
+)
+def test_load_at_a_server_that_is_gone_is_forgotten(gone: api.FleetList) -> None:
+    """Guards the fleet load: the ends of what stood on a crashed server counted against it for good."""
+    b = balancer(2)
+    sent = of(api.Send, b.handle(START, [arrival(i, load=0.01) for i in range(20)]))
+    b.handle(START + 1, [api.Established(send.request, 0, send.server, 500) for send in sent])
+    assert b.unseen > 0.19
+    b.handle(START + 2_000_000, [report(0, 0.1), report(1, 0.1)])
+    assert abs(b.unseen) < 1e-9
+    b.handle(START + 2_000_001, [gone])
+    ends = [ended(send.request, 0, send.server, api.Result.RESET, finished=True) for send in sent]
+    b.handle(START + 2_000_002, ends)
+    assert abs(b.unseen) < 1e-9
