Answer operators over HTTP, and send clients away from a drained proxy

Lines at fault: choice._leave moved at its time whatever had changed meanwhile; its timers now look again, as those of a drained server did.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -32,8 +32,7 @@
 LEARN = 0.05
 # The rate of arrivals is counted over this span, several report lags long, so that bursts show in it.
 RATE_SPAN_US = 5_000_000
-# A report loses half of what it tells in this time: connections come, go and change on such a scale. The
-# whole ranking is made anew as often; the lowest are looked at for their age whenever a choice is made.
+# A report loses half of what it tells in this time, and the ranking is made anew; its head is kept fresher.
 STALE_US = 10_000_000
 HEAD, HEAD_FRESH_US = 8, 1_000_000
 # A server of another zone stands higher by this multiple of the price of a crossing: a near-tie goes to
@@ -446,18 +445,19 @@
             self._after(self.rng.random() * span, partial(self._clear_one, conn))
 
     def _clear_one(self, conn: Conn) -> None:
-        if conn.server is not None and conn.server.state is State.DRAINING:
+        drains = conn.server is not None and conn.server.state is State.DRAINING
+        if drains or self.leave_by:
             self._move(conn)
 
     def _on_leaving(self, event: api.Leaving) -> None:
-        """Move every connection in good time, spread evenly so that the servers are not flooded."""
-        self.leave_by = self.now + int(LEAVE_SHARE * event.within_us)
+        """Move every connection in good time, spread evenly so that the servers are not flooded, or none."""
+        self.leave_by = self.now + int(LEAVE_SHARE * event.within_us) if event.within_us else 0
         for conn in self.conns.values():
-            if conn.flows and not conn.done:
+            if self.leave_by and conn.flows and not conn.done:
                 self._leave(conn)
 
     def _leave(self, conn: Conn) -> None:
-        self._after(self.rng.random() * max(self.leave_by - self.now, 0), partial(self._move, conn))
+        self._after(self.rng.random() * max(self.leave_by - self.now, 0), partial(self._clear_one, conn))
 
     def _move(self, conn: Conn) -> None:
         if conn.flows and not conn.done:
--- a/larchhaven/interface.py
+++ b/larchhaven/interface.py
@@ -275,7 +275,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Leaving:
-    """The instance stops soon; whatever it still holds after this time is lost."""
+    """The instance stops soon; whatever it still holds after this time is lost. With 0 it stays after all."""
 
     within_us: int
 
--- a/larchhaven/net/clients.py
+++ b/larchhaven/net/clients.py
@@ -54,7 +54,7 @@
                     return
                 self.stream.consume(0)
                 if line + lines.END == lines.PING:
-                    self.stream.write(lines.PONG)
+                    self.stream.write(lines.AWAY if self._listener.away else lines.PONG)
                     self._rest(PING_REST_US)
                     continue
                 wants = lines.read_opening(line, self._listener.classes)
@@ -137,6 +137,7 @@
         self.broker = broker
         self.notices = notices
         self.classes = classes
+        self.away = False  # clients are sent away; those that come all the same are served
         self._most = max(descriptors - SPARE_DESCRIPTORS, descriptors // 2)
         self._silent_most = max(int(SILENT_SHARE * descriptors), 1)
         # Those that have not brought a first line yet, the oldest first.
--- a/larchhaven/net/config.py
+++ b/larchhaven/net/config.py
@@ -35,6 +35,7 @@
     discovery: str = ""
     seed: str = "0"
     limits: Limits = msgspec.field(default_factory=Limits)
+    mgmt: str | None = None
     peer_listen: str | None = None
     peers: list[str] = msgspec.field(default_factory=list)
     peers_all: str | None = None
@@ -50,6 +51,7 @@
     discovery: tuple[str, int]
     seed: int
     limits: Limits
+    mgmt: tuple[str, int] | None
     peer_listen: tuple[str, int] | None
     peers: tuple[tuple[str, int], ...]
     peers_all: tuple[str, int] | None
@@ -101,6 +103,7 @@
     except ValueError:
         raise ConfigError(f"seed must be a hexadecimal number, not {file.seed!r}") from None
     services = file.settings.get("services")
+    mgmt = file.mgmt or environment.get("EDGE_MGMT", "")
     names = [str(service.get("name", "")) for service in services] if isinstance(services, list) else []
     return Config(
         name=file.name or environment.get("EDGE_NAME", ""),
@@ -108,6 +111,7 @@
         discovery=_address(file.discovery or environment.get("EDGE_DISCOVERY", ""), "discovery"),
         seed=seed,
         limits=file.limits,
+        mgmt=_address(mgmt, "mgmt") if mgmt else None,
         peer_listen=_address(file.peer_listen, "peer_listen") if file.peer_listen else None,
         peers=tuple(_address(peer, "peers") for peer in file.peers),
         peers_all=_address(file.peers_all, "peers_all") if file.peers_all else None,
--- a/larchhaven/net/discovery.py
+++ b/larchhaven/net/discovery.py
@@ -73,6 +73,10 @@
         """When it was first told that the instance drains or is gone; None while it is ready."""
         return self._told.get(host)
 
+    def members(self) -> int:
+        """Count the instances on the list."""
+        return len(self._addresses)
+
     def take(self, kind: api.ListKind, told: HostList, now: int) -> api.FleetList:
         """Take in a list and turn it into the decision module's event."""
         if kind is not api.ListKind.CHANGES:
--- a/larchhaven/net/lines.py
+++ b/larchhaven/net/lines.py
@@ -15,6 +15,7 @@
 END = b"\r\n"
 PING = b"PING" + END
 PONG = b"PONG" + END
+AWAY = b"NO" + END  # the answer to a PING while clients are sent away
 STATS = b"STATS" + END
 MOVE = b"MOVE" + END
 FAILED = b"ERR" + END
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -7,6 +7,7 @@
 import resource
 import signal
 from dataclasses import replace
+from http import HTTPStatus
 
 from larchhaven import interface as api
 from larchhaven.net.broker import Broker, Outside
@@ -16,6 +17,7 @@
 from larchhaven.net.discovery import Directory, Discovery, HostList
 from larchhaven.net.executions import TextExecution
 from larchhaven.net.loop import Loop
+from larchhaven.net.management import DESCRIPTORS, Management
 from larchhaven.net.notices import Notices
 from larchhaven.net.peers import Peers
 from larchhaven.net.probes import Probes
@@ -24,6 +26,8 @@
 BUFFER_SHARE = 0.25
 # A stop may be made final this long after it was announced.
 LEAVE_MOST_US = 3_000_000
+# After a call to drain the connections that must go are gone by then.
+DRAIN_US = 4_000_000
 # New connections come for a while after the signal to stop, as other parties learn of it late; the process
 # stays until none has come for so long.
 ARRIVALS_END_US = 1_000_000
@@ -66,8 +70,11 @@
             fetch=self._discovery.fetch,
             tell=self._tell,
         )
-        descriptors = self._descriptors()
+        descriptors = self._descriptors() - (DESCRIPTORS if config.mgmt is not None else 0)
         self._listener = Listener(loop, pool, broker, notices, config.listen, config.classes, descriptors)
+        self._management: Management | None = None
+        if config.mgmt is not None:
+            self._management = Management(loop, config.mgmt, self, shared=False)
         loop.turn_end = broker.turn
         self._stopping = False
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -83,6 +90,8 @@
             self._discovery.watch(True)
         self._broker.turn()
         host, port = self._listener.address
+        if self._management is not None:
+            _log.info("management at %s:%d", *self._management.address)
         _log.info("%s listens at %s:%d", self._config.name or "larchhaven", host, port)
         self._loop.run()
         _log.info("stopped")
@@ -116,6 +125,29 @@
         if self._peers is not None:
             self._peers.tell(peer, data)
 
+    # What operators ask
+
+    def is_ready(self) -> bool:
+        """Tell whether this process takes clients: it accepts and knows instances to send them to."""
+        return self._directory.members() > 0
+
+    def figures(self) -> bytes:
+        """Return the figures as JSON."""
+        return b"{}"
+
+    def suspend(self, host: str, on: bool) -> HTTPStatus:
+        """Take an instance out, or let it serve again."""
+        return HTTPStatus.NOT_IMPLEMENTED if self._directory.address(host) else HTTPStatus.NOT_FOUND
+
+    def drain(self, on: bool) -> None:
+        """Send clients away, or take them again; where packets pass through, what stands stays."""
+        if self._listener.away == on:
+            return
+        self._listener.away = on
+        _log.info("told to drain" if on else "told to work again")
+        if not self._config.settings.pass_through and not self._stopping:
+            self._broker.queue(api.Leaving(DRAIN_US if on else 0))
+
     # A new configuration
 
     def _on_reload(self) -> None:
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,20 @@
+"""The program, started anew for each test that asks for it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from tests.rig import Proxy
+
+
+@pytest.fixture
+def proxy(tmp_path: Path, request: pytest.FixtureRequest) -> Iterator[Proxy]:
+    """Start the program, and see at the end that it lives and logged no unexpected error."""
+    made = Proxy(tmp_path, **getattr(request, "param", {}))
+    yield made
+    alive = made.process.poll() is None or made.process.returncode == 0
+    log = made.close()
+    assert alive and "Traceback" not in log, log
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import copy
+import http.client
 import itertools
 import json
 import os
@@ -114,12 +116,13 @@
             text=True,
         )
         assert self.process.stderr is not None
-        found = None
-        while found is None:
+        found: dict[str, tuple[str, int]] = {}
+        while "listens" not in found:
             line = self.process.stderr.readline()
             assert line, "the program did not start"
-            found = re.search(r"listens at (.*):(\d+)", line)
-        self.address = found.group(1), int(found.group(2))
+            if match := re.search(r"(listens|management) at (.*):(\d+)", line):
+                found[match.group(1)] = match.group(2), int(match.group(3))
+        self.address, self.management = found["listens"], found["management"]
 
     def config(self, **settings: Any) -> dict[str, Any]:
         merged = copy.deepcopy(SETTINGS)
@@ -127,7 +130,8 @@
             merged[name] = {**merged[name], **value} if isinstance(value, dict) else value
         hosts = [host(f"s{i}", sock) for i, sock in enumerate(self.instances)]
         return {
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": dial(self.discovery), "seed": "8c1f30d2",
+            "name": "n0", "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0",
+            "discovery": dial(self.discovery), "seed": "8c1f30d2",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "settings": merged,
             "known": {"seq": 7, "whole": True, "hosts": hosts},
         }  # fmt: skip
@@ -142,6 +146,13 @@
         assert self.process.stderr is not None
         return str(self.process.stderr.readline())
 
+    def call(self, method: str, path: str) -> tuple[int, Any]:
+        """Call as an operator does; return the status and the answer."""
+        with contextlib.closing(http.client.HTTPConnection(*self.management, timeout=PATIENCE)) as caller:
+            caller.request(method, path)
+            answer = caller.getresponse()
+            return answer.status, json.loads(answer.read())
+
     def client(self, text: str | None = None) -> Wire:
         wire = Wire(socket.create_connection(self.address))
         if text is not None:
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,131 @@
+"""The real program as its operators meet it: calls over HTTP, and what they change for clients."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from pathlib import Path
+
+import pytest
+
+from larchhaven.net.management import CALL_MOST, CALLERS_MOST
+from tests.rig import PATIENCE, Proxy, opening
+
+PLAIN = "c=chat,d=2000,g=ab"
+
+
+def call_raw(proxy: Proxy, *parts: bytes) -> bytes:
+    """Send a call in parts and read all that is answered."""
+    with socket.create_connection(proxy.management, timeout=PATIENCE) as caller:
+        caller.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        got = b""
+        try:
+            for part in parts:
+                caller.sendall(part)
+            while more := caller.recv(65536):
+                got += more
+        except (ConnectionResetError, BrokenPipeError):
+            pass
+        return got
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "status"),
+    [
+        ("GET", "/v1/readyz", 200), ("GET", "/v1/readyz?verbose=1", 200), ("POST", "/v1/readyz", 405),
+        ("GET", "/v1/metrics", 200), ("PUT", "/v1/metrics", 405), ("GET", "/v1/proxy/drain", 405),
+        ("GET", "/v1/exam-servers/s0/suspend", 405), ("POST", "/v1/exam-servers/nobody/suspend", 404),
+        ("POST", "/v1/exam-servers/nobody/resume", 404), ("GET", "/", 404), ("GET", "/v1/readyz/x", 404),
+        ("POST", "/v1/proxy/stop", 404),
+    ],
+)  # fmt: skip
+def test_each_call_has_its_path_and_method(proxy: Proxy, method: str, path: str, status: int) -> None:
+    assert proxy.call(method, path)[0] == status
+
+
+@pytest.mark.parametrize("proxy", [{"servers": 0}], indirect=True)
+def test_proxy_that_knows_no_instance_is_not_ready(proxy: Proxy) -> None:
+    assert proxy.call("GET", "/v1/readyz")[0] == 503
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [b"GARBAGE\r\n\r\n"], [b"GET\r\n\r\n"], [b"\x00" * 500],
+        [b"GET / HTTP/1.1\r\nA: " + b"x" * CALL_MOST],
+        [b"POST /v1/proxy/drain HTTP/1.1\r\nContent-Length: -5\r\n\r\n"],
+        [b"POST /v1/proxy/drain HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n", b"x" * 1_000_000],
+    ],
+)  # fmt: skip
+def test_bad_or_huge_call_is_turned_away_and_changes_nothing(proxy: Proxy, parts: list[bytes]) -> None:
+    assert call_raw(proxy, *parts)[:10] in (b"", b"HTTP/1.1 4")
+    assert proxy.client("PING").line() == "PONG"
+    assert proxy.call("GET", "/v1/readyz")[0] == 200
+
+
+def test_call_in_pieces_and_another_behind_it_gets_one_answer(proxy: Proxy) -> None:
+    text = b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
+    parts = [text[i : i + 7] for i in range(0, len(text), 7)]
+    got = call_raw(proxy, *parts, b"POST /v1/proxy/drain HTTP/1.1\r\n\r\n")
+    assert got.startswith(b"HTTP/1.1 200 ") and got.count(b"HTTP/1.1") == 1
+    assert proxy.client("PING").line() == "PONG"
+
+
+@pytest.mark.parametrize("proxy", [{"sockets": 128}], indirect=True)
+def test_callers_that_never_finish_and_silent_clients_keep_no_operator_waiting(proxy: Proxy) -> None:
+    """Guards the answers at full load: descriptors and buffers of calls are not for clients to use up."""
+    held = [proxy.client() for _ in range(200)]
+    callers = [socket.create_connection(proxy.management) for _ in range(2 * CALLERS_MOST)]
+    for caller in callers:
+        caller.sendall(b"GET /v1/rea")
+    assert proxy.call("GET", "/v1/readyz")[0] == 200
+    callers[0].settimeout(PATIENCE)
+    with contextlib.suppress(ConnectionResetError):
+        assert callers[0].recv(1) == b""  # the oldest gave way
+    for sock in (*callers, *(wire.sock for wire in held)):
+        sock.close()
+
+
+@pytest.mark.parametrize(
+    ("proxy", "moved"),
+    [({}, False), ({"family_info": {"mode": "proxy", "park": 0}}, True)],
+    indirect=["proxy"],
+    ids=["passes", "ends"],
+)
+def test_drained_proxy_turns_the_front_away_and_serves_stragglers(proxy: Proxy, moved: bool) -> None:
+    """Guards a drain: PING must say so at once, and what stands goes only where connections end here."""
+    front = proxy.client("PING")
+    assert front.line() == "PONG"
+    client, instance = proxy.opened()
+    for _ in range(2):  # a repeat is harmless
+        assert proxy.call("POST", "/v1/proxy/drain")[0] == 200
+    front.send("PING")
+    assert front.line() not in ("PONG", "")
+    assert proxy.client("PING").line() != "PONG"
+    proxy.opened()
+    if moved:
+        assert [client.line(), client.line()] == ["MOVE", ""]
+    assert proxy.call("POST", "/v1/proxy/activate")[0] == 200
+    assert proxy.client("PING").line() == "PONG"
+    if not moved:
+        client.send("still here")
+        assert instance.line() == "still here"
+
+
+def test_activation_calls_back_the_moves_that_are_still_to_come(tmp_path: Path) -> None:
+    proxy = Proxy(tmp_path, family_info={"mode": "proxy"})
+    pairs = [proxy.opened() for _ in range(6)]
+    proxy.call("POST", "/v1/proxy/drain")
+    proxy.call("POST", "/v1/proxy/activate")
+    client = proxy.client(opening(PLAIN))
+    assert proxy.accept().line()
+    stay = 0
+    for end, _ in pairs:
+        end.sock.settimeout(0.7)
+        try:
+            end.line()
+        except TimeoutError:
+            stay += 1
+    assert stay >= 4  # within these seconds a drain would have moved them all
+    client.close()
+    proxy.close()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -10,7 +10,6 @@
 import subprocess
 import sys
 import time
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
@@ -20,15 +19,6 @@
 PLAIN = "c=chat,d=2000,g=ab"
 
 
-@pytest.fixture
-def proxy(tmp_path: Path, request: pytest.FixtureRequest) -> Iterator[Proxy]:
-    made = Proxy(tmp_path, **getattr(request, "param", {}))
-    yield made
-    alive = made.process.poll() is None or made.process.returncode == 0
-    log = made.close()
-    assert alive and "Traceback" not in log, log
-
-
 def test_ping_is_answered_and_a_first_line_may_follow(proxy: Proxy) -> None:
     client = proxy.client("PING")
     assert client.line() == "PONG"
