Report the proxy in figures, counted where things happen

The overdue answer now goes the way of every other answer, so that one place counts it. choice.py gives the count of servers it avoids; comments shortened.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -35,8 +35,7 @@
 # A report loses half of what it tells in this time, and the ranking is made anew; its head is kept fresher.
 STALE_US = 10_000_000
 HEAD, HEAD_FRESH_US = 8, 1_000_000
-# A server of another zone stands higher by this multiple of the price of a crossing: a near-tie goes to
-# the own zone, a plain difference in ratio does not.
+# A server of another zone stands higher by this multiple of the price of a crossing, so that near-ties stay.
 ZONE_BAND = 3
 # From this multiple of the mean load on, a connection's own load counts in the ratios.
 HEAVY = 2.0
@@ -45,8 +44,7 @@
 SLOW_US = 2_000_000
 # A request waits for the probes made for it for this part of its set-up aim at most.
 PROBE_WAIT = 0.2
-# An attempt leaves the set-up aim for another try, or this part of the time left when that is shorter: less
-# would call off set-ups that a slow shared store still serves, and have it do them twice.
+# An attempt leaves the set-up aim for another try, or this part of the time left when that is shorter.
 TRY_SHARE = 0.5
 # A request without a ready server is looked at again this often, in parts of its set-up aim.
 HOLD_SHARE = 0.25
@@ -62,9 +60,8 @@
 # From so many failed set-ups in a row on, they are paced: by these multiples of the shortest set-up aim.
 GATE_AFTER = 2
 GATE_SHARE, GATE_MOST = 0.5, 8
-# Relief: connections of a server whose report is above the first ratio, where messages are late, are moved
-# down to the fleet's mean, or to the second ratio if that is higher, while so many points of service for each
-# request may be spent on moves.
+# Relief: connections of a server above the first ratio are moved down to the fleet's mean, or to the second
+# ratio if that is higher, while so many points of service for each request may be spent on moves.
 RELIEF_FROM = 0.9
 RELIEF_TO = 0.75
 MOVE_SPEND = 0.01
@@ -185,14 +182,12 @@
         self.unseen = 0.0  # own changes of load that no report contains yet, over all servers
         self.weight = 0.0  # of all ready servers
         self.densities: deque[float] = deque(maxlen=DENSITIES)
-        self.ratio_sum = 0.0
-        self.ratio_weight = 0.0
+        self.ratio_sum = self.ratio_weight = 0.0
         self.waiting: dict[str, list[Conn]] = {}  # requests that wait for a probe of this server
         spend = PROBE_SPEND / settings.prices.probe if settings.prices.probe > 0 else PROBES_MOST
         self.probes_each = min(max(spend, PROBES_LEAST), PROBES_MOST) if settings.can_probe else 0
-        self.probe_credit = 0.0
+        self.probe_credit = self.move_credit = 0.0
         self.moves_each = min(MOVE_SPEND / max(settings.prices.moves, MOVE_SPEND), 1.0)
-        self.move_credit = 0.0
         self.leave_by = 0  # when this instance stops, the last of its connections is to be moved by then
         self.handlers: dict[type, Callable[..., None]] = {
             api.Arrival: self._on_arrival, api.Resumed: self._on_resumed, api.TimerFired: self._on_timer,
@@ -310,12 +305,10 @@
 
     def _may_send(self, conn: Conn) -> bool:
         """Rule 2: whether another attempt can do no harm."""
-        if conn.ran_on is None:
-            return True
         cls = self.settings.classes[conn.cls]
-        if cls.effect is Effect.KEYED:
-            return self.now < conn.ran_at + cls.window_us
-        return cls.effect is Effect.SAFE
+        if conn.ran_on is None or cls.effect is Effect.SAFE:
+            return True
+        return cls.effect is Effect.KEYED and self.now < conn.ran_at + cls.window_us
 
     def _allowed(self, conn: Conn, server: Server) -> bool:
         """Rule 2: a keyed request that may have run stays with the servers that discard its duplicates."""
@@ -779,6 +772,13 @@
         span = min(least * GATE_SHARE * 2 ** min(self.failures - GATE_AFTER, 20), GATE_MOST * least)
         self.gate_at = self.now + int(span * (0.5 + self.rng.random()))
 
+    def avoided(self, now: int) -> int:
+        """Count the listed servers that get nothing new now: not ready, or cast out while that is heeded."""
+        self.now = now
+        until = now if self._ejections_trusted() else math.inf
+        out = [s for s in self.fleet.values() if s.state is State.DRAINING or s.ejected_until > until]
+        return sum(server.state is not State.GONE for server in out)
+
     # Admission
 
     def _fleet_ratio(self) -> float:
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -13,6 +13,7 @@
 
 from larchhaven import interface as api
 from larchhaven.choice import Balancer
+from larchhaven.net.figures import Figures, Outcomes
 from larchhaven.net.loop import Deadline, Loop
 from larchhaven.net.notices import Notices
 from larchhaven.net.slots import Slots
@@ -94,12 +95,13 @@
     """A command, and the session it becomes."""
 
     __slots__ = (
-        "attempt", "begun_at", "client", "execution", "host", "identity", "limit", "payload", "session",
-        "until",
+        "attempt", "begun_at", "client", "cls", "execution", "host", "identity", "limit", "payload",
+        "session", "until",
     )  # fmt: skip
 
     def __init__(self, client: Client, wants: Wants, until: int) -> None:
         self.client: Client | None = client  # None once it is answered or has left
+        self.cls = wants.cls
         self.payload = wants.payload
         self.identity = wants.identity
         self.until = until
@@ -114,12 +116,16 @@
 class Broker:
     """Holds the commands and runs the decision module."""
 
-    def __init__(self, loop: Loop, notices: Notices, settings: api.Settings, seed: int) -> None:
+    def __init__(
+        self, loop: Loop, notices: Notices, settings: api.Settings, seed: int, figures: Figures
+    ) -> None:
         self._loop = loop
         self._notices = notices
         self._settings = settings
         self._balancer = Balancer(settings, seed)
         self._events: list[api.Event] = []
+        self._figures = figures
+        self._outcomes = figures.outcomes()
         self.arrived_at = loop.now  # when the last command came
         self._commands: Slots[Command] = Slots()
         self._identities: dict[bytes, int] = {}  # of the open commands
@@ -146,6 +152,10 @@
         """Count the commands held, served ones included."""
         return len(self._commands)
 
+    def avoided(self) -> int:
+        """Count the listed instances that get nothing new at present."""
+        return self._balancer.avoided(self._loop.now)
+
     # Events
 
     def queue(self, event: api.Event) -> None:
@@ -164,13 +174,15 @@
 
     # Service clients
 
-    def is_taken(self, wants: Wants) -> bool:
-        """Tell whether the identity is that of another open command.
+    def refuses_identity(self, wants: Wants) -> bool:
+        """Tell, and count, whether the identity is that of another open command: this one has failed.
 
         An instance would turn the second one away, at the price of a set-up, and seem to fail. A connection
         that comes back mid-flow, or stood before, is the same one and may meet what is left of itself.
         """
-        return wants.identity in self._identities and not wants.midflow and wants.at is None
+        taken = wants.identity in self._identities and not wants.midflow and wants.at is None
+        self._outcomes[wants.cls].failed += taken
+        return taken
 
     def take_command(self, client: Client, wants: Wants) -> int:
         """Take over a command, which is owed one final answer."""
@@ -180,6 +192,7 @@
             wait = self._settings.classes[wants.cls].deadline_us
         command = Command(client, wants, self._loop.now + wait)
         token = self._commands.add(command)
+        self._figures.pending += 1
         if wants.identity:
             self._identities[wants.identity] = token
         # Should the decision module ever miss the deadline, the client gets its answer all the same.
@@ -210,14 +223,11 @@
         self._drop(token, command)
 
     def _overdue(self, token: int) -> None:
-        command = self._commands.get(token)
-        if command is None or command.client is None:
-            return
-        self._notices.tell("overdue answer", f"command {token} was failed at its deadline")
-        client, command.client = command.client, None
-        self.queue(api.ClientGone(token))
-        self._drop(token, command)
-        client.fail()
+        if (answered := self._answered(token)) is not None:
+            self._notices.tell("overdue answer", f"command {token} was failed at its deadline")
+            self.queue(api.ClientGone(token))
+            answered[1].failed += 1
+            answered[0].fail()
 
     def _drop(self, token: int, command: Command) -> None:
         """Forget a command that owes nothing more, and give up its execution."""
@@ -229,6 +239,8 @@
 
     def _remove(self, token: int) -> Command | None:
         command = self._commands.remove(token)
+        if command is not None:
+            self._figures.pending -= 1
         if command is not None and self._identities.get(command.identity) == token:
             del self._identities[command.identity]
         return command
@@ -245,6 +257,10 @@
         told = self.outside.instances.told_at(host)
         return told is None or self._loop.now < told + self._settings.drain_grace_us - GRACE_MARGIN_US
 
+    def execution_written(self, token: int) -> None:
+        """Count an execution: from here on the instance may have run it."""
+        self._figures.upstream_requests += 1
+
     def execution_up(self, token: int) -> None:
         """Join the client to the instance that serves it."""
         command = self._commands.get(token)
@@ -255,6 +271,7 @@
         client, command.client = command.client, None
         execution, command.execution = command.execution, None
         self._loop.cancel(command.limit)
+        self._outcomes[command.cls].completed += 1
         command.session = client.serve(execution, token)
 
     def execution_over(self, token: int, result: api.Result, report: api.Report | None) -> None:
@@ -322,24 +339,26 @@
             return
         command.execution = self.outside.begin(action.request, command.payload, address, wait)
 
-    def _answered(self, token: int) -> Client | None:
+    def _answered(self, token: int) -> tuple[Client, Outcomes] | None:
         """Close a command that is about to get its final answer; None if it has had one."""
         command = self._commands.get(token)
         if command is None or command.client is None:
             return None
         client, command.client = command.client, None
         self._drop(token, command)
-        return client
+        return client, self._outcomes[command.cls]
 
     def _do_refuse(self, action: api.Refuse) -> None:
-        client = self._answered(action.request)
-        if client is not None:
-            client.refuse(min(action.retry_after_us, self._settings.max_retry_after_us))
+        answered = self._answered(action.request)
+        if answered is not None:
+            answered[1].rejected += 1
+            answered[0].refuse(min(action.retry_after_us, self._settings.max_retry_after_us))
 
     def _do_fail(self, action: api.Fail) -> None:
-        client = self._answered(action.request)
-        if client is not None:
-            client.fail()
+        answered = self._answered(action.request)
+        if answered is not None:
+            answered[1].failed += 1
+            answered[0].fail()
 
     def _do_cancel(self, action: api.Cancel) -> None:
         command = self._commands.get(action.request)
--- a/larchhaven/net/clients.py
+++ b/larchhaven/net/clients.py
@@ -58,7 +58,7 @@
                     self._rest(PING_REST_US)
                     continue
                 wants = lines.read_opening(line, self._listener.classes)
-                if self._listener.broker.is_taken(wants):
+                if self._listener.broker.refuses_identity(wants):
                     raise lines.BadLineError("the id is that of an open command")
             except lines.BadLineError as error:
                 self._listener.notices.tell("bad first line", str(error))
--- a/larchhaven/net/executions.py
+++ b/larchhaven/net/executions.py
@@ -17,6 +17,9 @@
     def may_begin(self, token: int) -> bool:
         """Tell whether the first byte may still be sent to the instance."""
 
+    def execution_written(self, token: int) -> None:
+        """Take that the last byte of the first line is written."""
+
     def execution_up(self, token: int) -> None:
         """Take that the instance serves the command."""
 
@@ -72,11 +75,14 @@
         if stream.write(line) < len(line):
             self._end(api.Result.NOT_SENT)  # no buffer left for the rest
             return
-        self._written = not stream.pending
+        if not stream.pending:
+            self.on_room()
 
     def on_room(self) -> None:
         """Note that the last byte of the line is written: from here on it may have run."""
-        self._written = True
+        if not self._written:
+            self._written = True
+            self._owner.execution_written(self._token)
 
     def on_input(self) -> None:
         """Read the instance's answer."""
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -16,6 +16,7 @@
 from larchhaven.net.config import Config, ConfigError, load
 from larchhaven.net.discovery import Directory, Discovery, HostList
 from larchhaven.net.executions import TextExecution
+from larchhaven.net.figures import Figures
 from larchhaven.net.loop import Loop
 from larchhaven.net.management import DESCRIPTORS, Management
 from larchhaven.net.notices import Notices
@@ -45,7 +46,8 @@
         self._loop = loop = Loop()
         self._notices = notices = Notices(loop)
         pool = Pool(max(int(BUFFER_SHARE * config.limits.memory_mb * (1 << 20)) // SIZE, 64))
-        self._broker = broker = Broker(loop, notices, settings, config.seed)
+        self._figures = Figures.of(list(config.classes))
+        self._broker = broker = Broker(loop, notices, settings, config.seed, self._figures)
         self._directory = Directory(config.zones, config.kinds)
         self._probes = Probes(loop, pool, settings.connect_timeout_us, self._on_probe)
         self._directory.forget = self._probes.drop
@@ -133,7 +135,9 @@
 
     def figures(self) -> bytes:
         """Return the figures as JSON."""
-        return b"{}"
+        self._figures.members = self._directory.members()
+        self._figures.members_unavailable = self._broker.avoided()
+        return self._figures.encode()
 
     def suspend(self, host: str, on: bool) -> HTTPStatus:
         """Take an instance out, or let it serve again."""
@@ -159,8 +163,10 @@
         try:
             config = load(os.environ)
         except ConfigError as error:
+            self._figures.config_reload_errors += 1
             _log.warning("configuration not reloaded: %s", error)
             return
+        self._figures.config_reloads += 1
         host, port = config.discovery
         rest = replace(config, discovery=self._config.discovery, known=self._config.known)
         more = "" if rest == self._config else "; the other changes count from the next start on"
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -183,6 +183,15 @@
         return str(log)
 
 
+def answer_watch(wire: Wire, body: str, status: str = "200 OK") -> str:
+    """Answer the next call to discovery; return its first line."""
+    request = wire.line()
+    while wire.line():
+        pass
+    wire.sock.sendall(f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
+    return request
+
+
 def opening(fields: str) -> str:
     """Write a first line with an id that no other has."""
     return f"OPEN 9b1f03aa{next(_numbers):08x} 7f3a9c21e0b4d655 {fields}"
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -8,6 +8,7 @@
 
 from larchhaven import interface as api
 from larchhaven.net.broker import GRACE_MARGIN_US, Broker, Execution, Outside, Session, Wants
+from larchhaven.net.figures import Figures
 from larchhaven.net.loop import Loop
 from larchhaven.net.notices import Notices
 from tests.world import PLAIN
@@ -56,7 +57,7 @@
 @pytest.fixture
 def broker(world: World) -> Broker:
     loop = Loop()
-    made = Broker(loop, Notices(loop), PLAIN, 1)
+    made = Broker(loop, Notices(loop), PLAIN, 1, Figures.of(["chat"]))
     made.outside = Outside(world, world.begin, *(lambda *_: None for _ in range(5)))
     made.queue(api.FleetList(api.ListKind.COMPLETE, 1, (api.ServerEntry("s0"),)))
     loop.turn_end = made.turn
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import socket
+import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from larchhaven.net.management import CALL_MOST, CALLERS_MOST
-from tests.rig import PATIENCE, Proxy, opening
+from tests.rig import PATIENCE, Proxy, Wire, answer_watch, host, opening
 
 PLAIN = "c=chat,d=2000,g=ab"
 
@@ -129,3 +132,71 @@
     assert stay >= 4  # within these seconds a drain would have moved them all
     client.close()
     proxy.close()
+
+
+def figures(proxy: Proxy) -> dict[str, Any]:
+    status, told = proxy.call("GET", "/v1/metrics")
+    assert status == 200
+    return dict(told)
+
+
+def wait_for(proxy: Proxy, name: str, value: object) -> dict[str, Any]:
+    """Read the figures until one of them is as it should be."""
+    until = time.monotonic() + PATIENCE
+    while (told := figures(proxy))[name] != value:
+        assert time.monotonic() < until, f"{name} stays at {told[name]}, not {value}"
+    return told
+
+
+def test_figures_are_what_clients_and_instances_saw(proxy: Proxy) -> None:
+    """Guards figures that count twice, or not at all: each end of a command that the test brings about."""
+    nothing = {"completed": 0, "rejected": 0, "failed": 0}
+    told = figures(proxy)
+    assert told["downstream_requests"] == {"chat": nothing, "exam": nothing}
+    assert (told["upstream_requests"], told["pending"], told["members"]) == (0, 0, 2)
+    saw = {"chat": dict(nothing), "exam": dict(nothing)}
+    attempts = 0
+    standing = [proxy.opened() for _ in range(3)]
+    saw["chat"]["completed"], attempts = 3, 3
+    for number in range(2):
+        client = proxy.client(opening(f"c=exam,d={60_000 + number},g=ab"))
+        for _ in proxy.instances:
+            instance = proxy.accept()
+            attempts += bool(instance.line())
+            instance.send("BUSY")
+        assert client.line().startswith("BUSY")
+        saw["exam"]["rejected"] += 1
+    leaver = proxy.client(opening("c=exam,d=60000,g=ab"))
+    held = proxy.accept()
+    attempts += bool(held.line())
+    assert wait_for(proxy, "pending", 4)["upstream_requests"] == attempts
+    leaver.close()
+    for client, _ in standing[:2]:
+        client.close()
+    told = wait_for(proxy, "pending", 1)
+    assert told["downstream_requests"] == saw
+    assert told["upstream_requests"] == attempts
+
+
+def test_class_of_a_command_with_a_used_id_and_reloads_are_counted(proxy: Proxy) -> None:
+    first = opening(PLAIN)
+    client = proxy.client(first)
+    assert proxy.accept().line()
+    assert proxy.client(first).line() == "ERR"
+    proxy.reload("{}")
+    wait_for(proxy, "config_reload_errors", 1)
+    proxy.reload(json.dumps(proxy.configuration))
+    told = wait_for(proxy, "config_reloads", 1)
+    assert told["downstream_requests"]["chat"]["failed"] == 1
+    client.close()
+
+
+@pytest.mark.parametrize("proxy", [{"discovery": "subscribe"}], indirect=True)
+def test_members_are_those_on_the_list_and_the_avoided_among_them(proxy: Proxy) -> None:
+    assert [figures(proxy)[name] for name in ("members", "members_unavailable")] == [2, 0]
+    discovery = Wire(proxy.discovery.accept()[0])
+    told = {"seq": 8, "hosts": [host("s0", proxy.instances[0], "draining")]}
+    answer_watch(discovery, json.dumps(told))
+    assert wait_for(proxy, "members_unavailable", 1)["members"] == 2
+    answer_watch(discovery, json.dumps({"seq": 9, "hosts": [host("s0", proxy.instances[0], "gone")]}))
+    assert wait_for(proxy, "members", 1)["members_unavailable"] == 0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.rig import PATIENCE, ROOT, Proxy, Wire, dial, host, listener, opening
+from tests.rig import PATIENCE, ROOT, Proxy, Wire, answer_watch, dial, host, listener, opening
 
 PLAIN = "c=chat,d=2000,g=ab"
 
@@ -246,14 +246,6 @@
     return int(status.split("VmRSS:")[1].split()[0]) / 1024
 
 
-def answer_watch(wire: Wire, body: str, status: str = "200 OK") -> str:
-    request = wire.line()
-    while wire.line():
-        pass
-    wire.sock.sendall(f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode())
-    return request
-
-
 @pytest.mark.parametrize("proxy", [{"discovery": "subscribe"}], indirect=True)
 def test_watch_is_renewed_and_its_news_are_heeded(proxy: Proxy) -> None:
     discovery = Wire(proxy.discovery.accept()[0])
