Take exam servers out at the operators' call, as a drain that the list cannot end

Seen: the untouched program answers no such call. Ruled out: that the call back must wait for discovery to tell of the restart (it may come before); the cold guard counts from the call instead.

choice.py: the last entry of each server is kept and read again; a list that leaves a server out is now an entry that says it is gone, which was written out a second time.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -12,7 +12,7 @@
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 from zlib import crc32
 
@@ -74,8 +74,7 @@
 LEAVE_SHARE = 0.8
 # A report above this is of a jam, where ratios run to many times the load; it counts as this much.
 SATURATED = 2.0
-# Arrivals of the least worth for their load are refused from the first of these ratios of the whole fleet on,
-# all arrivals at the second: messages are late on a fleet near its capacity, and a jam serves nobody.
+# Between these ratios of the whole fleet arrivals are refused, those of the least worth for their load first.
 REFUSE_FROM = 0.6
 REFUSE_ALL = 0.85
 # What an arrival is worth is ranked among so many arrivals before it.
@@ -86,8 +85,7 @@
 TAG, MARK, TOLD_MOST = 4, 2, 42
 # A mid-flow connection that nobody here knows waits so long for another instance to tell where it stands.
 ASK_US = 100_000
-# So many connections are remembered, the latest told.
-HOLDERS_MOST = 10_000
+HOLDERS_MOST = 10_000  # connections remembered, the latest told
 # A failed subscription is asked for again after this part of ask_within, doubling up to the whole.
 ASK_SHARE = 0.1
 
@@ -132,6 +130,7 @@
     id: str
     tie: float  # orders exact ties at random, differently at each instance
     mark: bytes  # short for its id, the same at all instances
+    listed: api.ServerEntry  # what the list last told of it
     zone: int = 0
     cell: int = 0
     weight: float = 1.0
@@ -170,6 +169,7 @@
         self.ejected: list[Server] = []
         self.holders: dict[bytes, bytes] = {}  # marks of servers by tags of the connections that stand there
         self.marks: dict[bytes, Server] = {}
+        self.suspended: set[str] = set()  # ids that operators have taken out
         self.tells = settings.can_tell and settings.pass_through and settings.instances > 1
         self.timers: dict[int, Callable[[], None]] = {}
         self.next_token = 1
@@ -193,7 +193,7 @@
             api.Arrival: self._on_arrival, api.Resumed: self._on_resumed, api.TimerFired: self._on_timer,
             api.FleetList: self._on_list, api.ProbeResult: self._on_probe, api.PeerMessage: self._on_peer,
             api.LoadNote: self._on_load_note, api.DelayNote: self._on_delay_note,
-            api.Stalled: self._on_stalled, api.Leaving: self._on_leaving,
+            api.Stalled: self._on_stalled, api.Leaving: self._on_leaving, api.Suspended: self._on_suspended,
             api.ClientGone: self._on_client_gone, api.Established: self._on_established,
             api.AttemptEnded: self._on_ended,
         }  # fmt: skip
@@ -259,8 +259,13 @@
         aim = limits.classes[conn.cls].aim_us
         server = self._holder(conn)
         if server is None and conn.at is None and self.now >= self.gate_at:
-            server = self._choose(conn)
-        if server is None and conn.tried and all(entry[2] in conn.tried for entry in self.ranking):
+            near, shares = self._band(conn)
+            server = self.rng.choices(near, shares)[0] if near else None
+        if (
+            server is None
+            and (conn.tried or self.suspended)
+            and all(e[2] in conn.tried for e in self.ranking)
+        ):
             self._give_up(conn)  # nobody is left to wait for
             return
         if server is None:
@@ -427,10 +432,7 @@
             self._move(conn)
 
     def _clear(self, server: Server, conns: Sequence[Conn]) -> None:
-        """Move connections off a draining server before it leaves and cuts them off.
-
-        Each goes at a time of its own within the span: they must not come to the others all at once.
-        """
+        """Move connections off a draining server before it cuts them off, each at a time of its own."""
         self._drop_arrivals()
         grace, usual = self.settings.drain_grace_us, max(len(self.arrivals), 1) / RATE_SPAN_US
         span = min(max(len(server.conns) / (DRAIN_RUSH * usual), grace), DRAIN_MOST * grace)
@@ -438,16 +440,14 @@
             self._after(self.rng.random() * span, partial(self._clear_one, conn))
 
     def _clear_one(self, conn: Conn) -> None:
-        drains = conn.server is not None and conn.server.state is State.DRAINING
-        if drains or self.leave_by:
+        if self.leave_by or (conn.server is not None and conn.server.state is State.DRAINING):
             self._move(conn)
 
     def _on_leaving(self, event: api.Leaving) -> None:
         """Move every connection in good time, spread evenly so that the servers are not flooded, or none."""
         self.leave_by = self.now + int(LEAVE_SHARE * event.within_us) if event.within_us else 0
-        for conn in self.conns.values():
-            if self.leave_by and conn.flows and not conn.done:
-                self._leave(conn)
+        for conn in self.conns.values() if self.leave_by else ():
+            self._leave(conn)
 
     def _leave(self, conn: Conn) -> None:
         self._after(self.rng.random() * max(self.leave_by - self.now, 0), partial(self._clear_one, conn))
@@ -461,15 +461,9 @@
         server.relief_at = self.now + int(RELIEF_REST * REPORT_LAG_US * (0.5 + self.rng.random()))
 
     def _relieve(self, server: Server) -> None:
-        """Move own connections off a jammed server: the one exception to staying put, bounded and priced.
-
-        Each instance moves its part of what the server cannot do, heaviest first; all together that brings it
-        down to the mean.
-        """
-        ratio, goal = server.ratio, max(self._mean(), RELIEF_TO)
-        if ratio is None or ratio <= RELIEF_FROM or goal >= RELIEF_FROM:
-            return
-        if not server.conns or server.moved_until > self.now:
+        """Move off a jammed server this instance's part of what it cannot do, heaviest first, at a price."""
+        ratio, goal = server.ratio or 0.0, max(self._mean(), RELIEF_TO)
+        if not goal < RELIEF_FROM < ratio or not server.conns or server.moved_until > self.now:
             return
         self._rest(server)
         server.moved_until = server.relief_at
@@ -509,28 +503,44 @@
         self.ask_span = 0
         if event.kind is not ListKind.CHANGES:
             named = {entry.server for entry in event.entries}
-            for server in self.fleet.values():
-                if server.id not in named:
-                    server.state = State.GONE
-                    self._forget_load(server)
-                    self._reorder(server)
-        for entry in event.entries:
+            gone = [s.listed for s in self.fleet.values() if s.id not in named]
+            self._list_entries([replace(entry, state=State.GONE) for entry in gone])
+        self._list_entries(event.entries)
+
+    def _on_suspended(self, event: api.Suspended) -> None:
+        """Have a server drain whatever the list says, or take it back as one that starts now and is well."""
+        server, changed = self.fleet.get(event.server), {event.server}
+        back = not event.on and event.server in self.suspended
+        self.suspended = self.suspended | changed if event.on else self.suspended - changed
+        if server is not None and back:
+            server.ejected_until, server.slow_until = self.now - PROVEN_US, 0
+            server.listed = replace(server.listed, started_at=self.now)
+            if self.settings.can_probe:
+                self._probe(server)
+        if server is not None:
+            self._list_entries([server.listed])
+
+    def _list_entries(self, entries: Iterable[api.ServerEntry]) -> None:
+        for entry in entries:
             self._reorder(self._list_entry(entry))
         self.weight = sum(entry[2].weight for entry in self.ranking)
 
     def _list_entry(self, entry: api.ServerEntry) -> Server:
         server = self.fleet.get(entry.server)
         if server is None:
-            server = Server(entry.server, self.rng.random(), _short(entry.server, MARK))
+            server = Server(entry.server, self.rng.random(), _short(entry.server, MARK), entry)
             self.fleet[server.id] = self.marks[server.mark] = server
+        server.listed, state = entry, entry.state
+        if state is State.READY and server.id in self.suspended:
+            state = State.DRAINING
         restarted = entry.started_at > server.started_at
-        drains = entry.state is State.DRAINING and server.state is not State.DRAINING
-        if entry.state is not State.READY and server.state is State.READY:
+        drains = state is State.DRAINING and server.state is not State.DRAINING
+        if state is not State.READY and server.state is State.READY:
             server.told_at = self.now
-        server.state, server.zone, server.cell = entry.state, entry.zone, entry.cell
+        server.state, server.zone, server.cell = state, entry.zone, entry.cell
         if drains:
             self._clear(server, list(server.conns.values()))
-        if entry.state is State.GONE:
+        if state is State.GONE:
             self._forget_load(server)
         if server.weight != max(entry.weight, 1e-3):
             self._forget_report(server)
@@ -550,9 +560,8 @@
         near, shares = self._band(conn)
         looks = min(int(self.probe_credit), len(near)) if conn.deadline - self.now > 4 * wait else 0
         # Twice as many draws as probes, less those drawn twice.
-        for server in (
-            list(dict.fromkeys(self.rng.choices(near, shares, k=2 * looks)))[:looks] if looks else ()
-        ):
+        drawn = self.rng.choices(near, shares, k=2 * looks) if looks else []
+        for server in list(dict.fromkeys(drawn))[:looks]:
             self._probe(server)
             self.waiting[server.id].append(conn)
             conn.looks += 1
@@ -562,10 +571,7 @@
             self._place(conn)
 
     def _refresh(self) -> None:
-        """Probe the server with the oldest report, as looks go to the lowest alone, and refusals to none.
-
-        Only a report tells of a jam that no answer shows, and that a fleet once full is so no more.
-        """
+        """Probe the server with the oldest report: nothing else tells of a jam, or that one is over."""
         idle = [e[2] for e in self.ranking if e[2].id not in self.waiting and e[2].ejected_until <= self.now]
         if idle and self.probe_credit >= 1:
             self._probe(min(idle, key=lambda server: server.report_at))
@@ -661,8 +667,7 @@
         mean = self._mean()
         ratio = server.own / server.weight
         if server.ratio is None:
-            # Without a report a server is taken to be like the mean, not idle. One seen to start is empty,
-            # and slow start bounds what it gets (next to nothing came to the new servers of a growing fleet).
+            # Without a report a server is like the mean, not idle; one seen to start is empty.
             ratio += mean if server.warm_at <= self.now else 0.0
         else:
             # Others fill what was low and connections leave what was high, so a report ages toward the mean.
@@ -716,9 +721,7 @@
             need = (ratio - level) * capacity
             if filled + need > poured:
                 break
-            if server.ejected_until > now and trusting:
-                continue
-            if server.open_at > now:
+            if (server.ejected_until > now and trusting) or server.open_at > now:
                 continue
             if server in conn.tried or (conn.ran_on is not None and not self._allowed(conn, server)):
                 continue
@@ -743,10 +746,6 @@
         while self.arrivals and self.arrivals[0] < self.now - RATE_SPAN_US:
             self.arrivals.popleft()
 
-    def _choose(self, conn: Conn) -> Server | None:
-        near, shares = self._band(conn)
-        return self.rng.choices(near, shares)[0] if near else None
-
     # Health
 
     def _eject(self, server: Server) -> None:
--- a/larchhaven/interface.py
+++ b/larchhaven/interface.py
@@ -280,6 +280,14 @@
     within_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class Suspended:
+    """Operators take a server out, whatever the list says of it, or let it serve again."""
+
+    server: str
+    on: bool
+
+
 @dataclass(frozen=True, slots=True)
 class ClientGone:
     """The client left; nothing is owed any more."""
@@ -321,6 +329,7 @@
     | DelayNote
     | Stalled
     | Leaving
+    | Suspended
     | ClientGone
     | Established
     | AttemptEnded
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -129,6 +129,7 @@
         self.arrived_at = loop.now  # when the last command came
         self._commands: Slots[Command] = Slots()
         self._identities: dict[bytes, int] = {}  # of the open commands
+        self._suspended: dict[str, int] = {}  # the instances taken out, and since when
         self._notes: dict[str, tuple[int, bool]] = {}  # when the last was sent, and if it was slow
         aims = [c.message_aim_us or c.aim_us for c in settings.classes]
         self._slow_us = min(aims) / 3
@@ -156,6 +157,14 @@
         """Count the listed instances that get nothing new at present."""
         return self._balancer.avoided(self._loop.now)
 
+    def suspend(self, host: str, on: bool) -> None:
+        """Have an instance taken out, or let it serve again."""
+        if on:
+            self._suspended.setdefault(host, self._loop.now)
+        else:
+            self._suspended.pop(host, None)
+        self.queue(api.Suspended(host, on))
+
     # Events
 
     def queue(self, event: api.Event) -> None:
@@ -254,8 +263,9 @@
 
     def _open(self, host: str) -> bool:
         """Guard the drain rule once more: the list may have changed while a connect took its time."""
-        told = self.outside.instances.told_at(host)
-        return told is None or self._loop.now < told + self._settings.drain_grace_us - GRACE_MARGIN_US
+        told = (self.outside.instances.told_at(host), self._suspended.get(host))
+        until = self._settings.drain_grace_us - GRACE_MARGIN_US
+        return all(at is None or self._loop.now < at + until for at in told)
 
     def execution_written(self, token: int) -> None:
         """Count an execution: from here on the instance may have run it."""
--- a/larchhaven/net/discovery.py
+++ b/larchhaven/net/discovery.py
@@ -21,6 +21,8 @@
 BODY_MOST = 4 << 20
 # An instance that is gone is remembered as such for this long; nothing sent to it can be under way then.
 FORGET_US = 60_000_000
+# So many hosts are remembered as listed once.
+LISTED_MOST = 10_000
 
 _STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
 
@@ -62,6 +64,7 @@
         self._kinds = {name: i for i, name in enumerate(kinds)}
         self._addresses: dict[str, tuple[str, int]] = {}
         self._told: dict[str, int] = {}
+        self._listed: dict[str, None] = {}  # every host there ever was, the latest last
         self._offset = unix_offset_us()
         self.forget: Callable[[str], None] = lambda host: None
 
@@ -77,6 +80,10 @@
         """Count the instances on the list."""
         return len(self._addresses)
 
+    def was_listed(self, host: str) -> bool:
+        """Tell whether the instance is on the list, or was."""
+        return host in self._listed
+
     def take(self, kind: api.ListKind, told: HostList, now: int) -> api.FleetList:
         """Take in a list and turn it into the decision module's event."""
         if kind is not api.ListKind.CHANGES:
@@ -92,6 +99,10 @@
     def _entry(self, entry: HostEntry, now: int) -> api.ServerEntry:
         # A state that is not known yet is none to send something new to.
         state = _STATES.get(entry.health, api.State.DRAINING)
+        self._listed.pop(entry.host, None)
+        self._listed[entry.host] = None
+        if len(self._listed) > LISTED_MOST:
+            del self._listed[next(iter(self._listed))]
         address = read_address(entry.dial)
         if address is not None:
             self._addresses[entry.host] = address
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -22,11 +22,14 @@
 from larchhaven.net.notices import Notices
 from larchhaven.net.peers import Peers
 from larchhaven.net.probes import Probes
+from larchhaven.net.suspensions import Suspensions
 
 # The part of the memory limit that buffers may fill.
 BUFFER_SHARE = 0.25
 # A stop may be made final this long after it was announced.
 LEAVE_MOST_US = 3_000_000
+# Suspensions that another process was told are heeded within this time.
+SUSPENSIONS_US = 100_000
 # After a call to drain the connections that must go are gone by then.
 DRAIN_US = 4_000_000
 # New connections come for a while after the signal to stop, as other parties learn of it late; the process
@@ -49,6 +52,7 @@
         self._figures = Figures.of(list(config.classes))
         self._broker = broker = Broker(loop, notices, settings, config.seed, self._figures)
         self._directory = Directory(config.zones, config.kinds)
+        self._suspensions = Suspensions(os.environ.get("TMPDIR", ""), self._on_suspended)
         self._probes = Probes(loop, pool, settings.connect_timeout_us, self._on_probe)
         self._directory.forget = self._probes.drop
         self._discovery = Discovery(loop, pool, notices, config.discovery, config.known.seq, self._on_list)
@@ -87,6 +91,7 @@
         """Serve until told to stop."""
         known = self._directory.take(api.ListKind.REMEMBERED, self._config.known, self._loop.now)
         self._broker.queue(known)
+        self._look_at_suspensions()
         if not self._config.settings.subscribe:
             # The simulator's "automatic" sends news unasked; over HTTP nothing comes without a watch.
             self._discovery.watch(True)
@@ -140,8 +145,24 @@
         return self._figures.encode()
 
     def suspend(self, host: str, on: bool) -> HTTPStatus:
-        """Take an instance out, or let it serve again."""
-        return HTTPStatus.NOT_IMPLEMENTED if self._directory.address(host) else HTTPStatus.NOT_FOUND
+        """Take an instance out, or let it serve again; the yes comes when it is saved and heeded."""
+        if not self._directory.was_listed(host) and host not in self._suspensions:
+            return HTTPStatus.NOT_FOUND
+        try:
+            self._suspensions.change(host, on)
+        except OSError as error:
+            self._notices.tell("suspension not saved", str(error))
+            return HTTPStatus.INTERNAL_SERVER_ERROR
+        return HTTPStatus.OK
+
+    def _on_suspended(self, host: str, on: bool) -> None:
+        _log.info("exam server %r is %s", host, "taken out" if on else "back")
+        self._broker.suspend(host, on)
+
+    def _look_at_suspensions(self) -> None:
+        """Heed what the other process of an upgrade was told."""
+        self._suspensions.refresh()
+        self._loop.after(SUSPENSIONS_US, self._look_at_suspensions)
 
     def drain(self, on: bool) -> None:
         """Send clients away, or take them again; where packets pass through, what stands stays."""
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -111,7 +111,7 @@
         self.process = subprocess.Popen(
             [sys.executable, "-m", "larchhaven"],
             cwd=ROOT,
-            env={**os.environ, "EDGE_CONFIG": str(path)},
+            env={**os.environ, "EDGE_CONFIG": str(path), "TMPDIR": str(folder)},
             stderr=subprocess.PIPE,
             text=True,
         )
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -440,3 +440,41 @@
     ends = [ended(send.request, 0, send.server, api.Result.RESET, finished=True) for send in sent]
     b.handle(START + 2_000_002, ends)
     assert abs(b.unseen) < 1e-9
+
+
+def test_suspended_server_gets_nothing_and_loses_its_clients_whatever_the_list_says() -> None:
+    b = balancer(2)
+    sent = of(api.Send, b.handle(START, [arrival(i, load=0.01) for i in range(12)]))
+    b.handle(START + 1, [api.Established(send.request, 0, send.server, 500) for send in sent])
+    actions = b.handle(START + 2, [api.Suspended("s0", True), api.Suspended("s0", True)])
+    entry = next(e for e in (s.listed for s in b.fleet.values()) if e.server == "s0")
+    gone = replace(entry, state=api.State.GONE)
+    b.handle(START + 3, [api.FleetList(api.ListKind.CHANGES, 2, (gone,))])
+    b.handle(START + 4, [api.FleetList(api.ListKind.CHANGES, 3, (replace(entry, started_at=START),))])
+    again = of(api.Send, b.handle(START + 5, [arrival(100 + i, load=0.01) for i in range(20)]))
+    assert {send.server for send in again} == {"s1"} and b.avoided(START + 5) == 1
+    timers = [api.TimerFired(timer.token) for timer in of(api.SetTimer, actions)]
+    moved = {move.request for move in of(api.Move, b.handle(START + 6_000_000, timers))}
+    assert moved == {send.request for send in sent if send.server == "s0"}
+
+
+def test_server_that_is_called_back_is_probed_at_once_and_used_as_one_that_starts() -> None:
+    """Guards a server that was restarted meanwhile: cold, and what was known of it is true no more."""
+    b = balancer(2, can_probe=True)
+    b.handle(START, [report(0, 1.9), report(1, 0.1)])
+    b.handle(START + 1, [api.ProbeResult("s0", api.Result.UNREACHABLE, 500), api.Suspended("s0", True)])
+    actions = b.handle(START + 2, [api.Suspended("s0", False), api.Suspended("s0", False)])
+    assert [probe.server for probe in of(api.Probe, actions)] == ["s0"]
+    server = b.fleet["s0"]
+    assert server.ratio is None and server.ejected_until <= START and server.warm_at > START + 1_000_000
+    assert b.avoided(START + 2) == 0
+    late = START + 5_000_000
+    b.handle(late, [arrival(i, load=0.01) for i in range(10)])
+    sent = of(api.Send, b.handle(late + 1, [report(0, 0.0), report(1, 0.1)]))
+    assert "s0" in {send.server for send in sent}
+
+
+def test_arrival_is_refused_at_once_when_all_are_suspended() -> None:
+    b = balancer(2)
+    actions = b.handle(START, [api.Suspended("s0", True), api.Suspended("s1", True), arrival(1)])
+    assert [refusal.request for refusal in of(api.Refuse, actions)] == [1]
--- a/tests/test_management.py
+++ b/tests/test_management.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+import select
 import socket
 import time
 from pathlib import Path
@@ -200,3 +201,77 @@
     assert wait_for(proxy, "members_unavailable", 1)["members"] == 2
     answer_watch(discovery, json.dumps({"seq": 9, "hosts": [host("s0", proxy.instances[0], "gone")]}))
     assert wait_for(proxy, "members", 1)["members_unavailable"] == 0
+
+
+def stand(proxy: Proxy, number: int) -> tuple[Wire, Wire]:
+    """Bring up a connection at one of the instances."""
+    client = proxy.client(opening(f"{PLAIN},at=s{number}"))
+    instance = proxy.accept(proxy.instances[number])
+    assert instance.line()
+    instance.send("UP 1")
+    assert client.line() == "UP 1"
+    return client, instance
+
+
+def test_suspended_instance_loses_its_clients_and_gets_nothing_until_it_is_called_back(proxy: Proxy) -> None:
+    """Guards an exam server that is to be restarted: nothing new from the yes on, its clients elsewhere."""
+    client, instance = stand(proxy, 0)
+    stays, _ = stand(proxy, 1)
+    for _ in range(2):
+        assert proxy.call("POST", "/v1/exam-servers/s0/suspend")[0] == 200
+    news = [proxy.client(opening(PLAIN)) for _ in range(8)]
+    for _ in news:
+        assert proxy.accept(proxy.instances[1]).line()
+    assert figures(proxy)["members_unavailable"] == 1
+    assert [client.line(), client.line(), instance.line()] == ["MOVE", "", ""]
+    for _ in range(2):
+        assert proxy.call("POST", "/v1/exam-servers/s0/resume")[0] == 200
+    assert figures(proxy)["members_unavailable"] == 0
+    stays.send("still here")
+    assert select.select([proxy.instances[0]], [], [], 0)[0] == []
+
+
+def test_all_suspended_means_a_refusal_at_once(proxy: Proxy) -> None:
+    for number in range(2):
+        assert proxy.call("POST", f"/v1/exam-servers/s{number}/suspend")[0] == 200
+    assert proxy.client(opening("c=chat,d=3000000,g=ab")).line().startswith("BUSY")
+
+
+@pytest.mark.parametrize("proxy", [{"discovery": "subscribe"}], indirect=True)
+def test_instance_that_is_gone_may_be_suspended_and_stays_so_when_it_comes_back(proxy: Proxy) -> None:
+    discovery = Wire(proxy.discovery.accept()[0])
+    answer_watch(discovery, json.dumps({"seq": 8, "hosts": [host("s0", proxy.instances[0], "gone")]}))
+    wait_for(proxy, "members", 1)
+    assert proxy.call("POST", "/v1/exam-servers/s0/suspend")[0] == 200
+    answer_watch(discovery, json.dumps({"seq": 9, "hosts": [host("s0", proxy.instances[0])]}))
+    assert wait_for(proxy, "members", 2)["members_unavailable"] == 1
+    client = proxy.client(opening(PLAIN))
+    assert proxy.accept(proxy.instances[1]).line()
+    client.close()
+
+
+@pytest.mark.parametrize("broken", [None, b"{", b'{"v":9,"hosts":["s0"]}', b"\x00" * 2_000_000])
+def test_next_process_knows_the_suspensions_unless_their_file_is_broken(
+    tmp_path: Path, broken: bytes | None
+) -> None:
+    """Guards suspensions across an upgrade, and the start from whatever the file holds."""
+    proxy = Proxy(tmp_path)
+    assert proxy.call("POST", "/v1/exam-servers/s0/suspend")[0] == 200
+    proxy.close()
+    saved = tmp_path / "larchhaven-suspended.json"
+    assert b"s0" in saved.read_bytes()
+    if broken is not None:
+        saved.write_bytes(broken)
+    proxy = Proxy(tmp_path)
+    assert figures(proxy)["members_unavailable"] == (broken is None)
+    assert proxy.call("POST", "/v1/exam-servers/s1/suspend")[0] == 200
+    assert (b"s0" in saved.read_bytes()) == (broken is None)
+    proxy.close()
+
+
+def test_suspension_that_cannot_be_saved_gets_a_no(tmp_path: Path) -> None:
+    proxy = Proxy(tmp_path)
+    (tmp_path / "larchhaven-suspended.new").mkdir()
+    assert proxy.call("POST", "/v1/exam-servers/s0/suspend")[0] == 500
+    assert figures(proxy)["members_unavailable"] == 0
+    proxy.close()
