Take over from the running process on upgrades, standing connections included

At fault: Listener bound in every case (clients.py), Peers could not share its address, Node waited a second for newcomers that now wait in the socket. choice.py: a resumed connection is remembered and told to others like one that was set up.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -247,8 +247,7 @@
         conn = self._admit(event.arrival)
         conn.attempts, conn.out, conn.flows = 1, 0, True
         conn.server = self.fleet.get(event.server)
-        if conn.server is not None:
-            conn.server.conns[conn.id] = conn
+        self._stand(conn)
 
     def _place(self, conn: Conn) -> None:
         """Send a request to its server now, hold it for one, or answer it when its time or tries are up."""
@@ -355,16 +354,19 @@
                 self.gate_at = 0
             for doubted in conn.doubted:
                 self._eject(doubted)  # nothing is wrong with a request that another server takes
-            if conn.server is not None:
-                conn.server.conns[conn.id] = conn
-                if conn.tag:
-                    # The next instance knows it too, should this one end without a word.
-                    self._remember(conn.tag, conn.server.mark)
-                    self._tell_held((self.settings.index + 1) % self.settings.instances, [conn.tag])
-                if conn.server.state is State.DRAINING:
-                    self._clear(conn.server, [conn])
-            if self.leave_by:
-                self._leave(conn)
+            self._stand(conn)
+
+    def _stand(self, conn: Conn) -> None:
+        if conn.server is not None:
+            conn.server.conns[conn.id] = conn
+            if conn.tag:
+                # The next instance knows it too, should this one end without a word.
+                self._remember(conn.tag, conn.server.mark)
+                self._tell_held((self.settings.index + 1) % self.settings.instances, [conn.tag])
+            if conn.server.state is State.DRAINING:
+                self._clear(conn.server, [conn])
+        if self.leave_by:
+            self._leave(conn)
 
     def _on_ended(self, event: api.AttemptEnded) -> None:
         conn = self.conns.get(event.request)
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -51,6 +51,9 @@
 class Session(Protocol):
     """A connection that stands."""
 
+    def release(self) -> None:
+        """Let go of it: another process has taken it over."""
+
     def move(self) -> None:
         """Tell the client to come again, and end both sides."""
 
@@ -89,21 +92,21 @@
     watch: Callable[[bool], None]
     fetch: Callable[[], None]
     tell: Callable[[int | None, bytes], None]
+    identity: Callable[[bytes, bool], None]
+    is_open_elsewhere: Callable[[bytes], bool]
 
 
 class Command:
     """A command, and the session it becomes."""
 
     __slots__ = (
-        "attempt", "begun_at", "client", "cls", "execution", "host", "identity", "limit", "payload",
-        "session", "until",
+        "attempt", "begun_at", "client", "execution", "host", "limit", "load", "session", "until", "wants",
     )  # fmt: skip
 
-    def __init__(self, client: Client, wants: Wants, until: int) -> None:
-        self.client: Client | None = client  # None once it is answered or has left
-        self.cls = wants.cls
-        self.payload = wants.payload
-        self.identity = wants.identity
+    def __init__(self, client: Client | None, wants: Wants, until: int) -> None:
+        self.client = client  # None once it is answered or has left
+        self.wants = wants
+        self.load = wants.load
         self.until = until
         self.limit: Deadline | None = None
         self.attempt = -1
@@ -189,7 +192,8 @@
         An instance would turn the second one away, at the price of a set-up, and seem to fail. A connection
         that comes back mid-flow, or stood before, is the same one and may meet what is left of itself.
         """
-        taken = wants.identity in self._identities and not wants.midflow and wants.at is None
+        known = wants.identity in self._identities or self.outside.is_open_elsewhere(wants.identity)
+        taken = known and not wants.midflow and wants.at is None
         self._outcomes[wants.cls].failed += taken
         return taken
 
@@ -202,8 +206,7 @@
         command = Command(client, wants, self._loop.now + wait)
         token = self._commands.add(command)
         self._figures.pending += 1
-        if wants.identity:
-            self._identities[wants.identity] = token
+        self._identify(token, command)
         # Should the decision module ever miss the deadline, the client gets its answer all the same.
         command.limit = self._loop.after(wait + self._settings.answer_slack_us, lambda: self._overdue(token))
         self.queue(
@@ -250,8 +253,9 @@
         command = self._commands.remove(token)
         if command is not None:
             self._figures.pending -= 1
-        if command is not None and self._identities.get(command.identity) == token:
-            del self._identities[command.identity]
+        if command is not None and self._identities.get(command.wants.identity) == token:
+            del self._identities[command.wants.identity]
+            self.outside.identity(command.wants.identity, False)
         return command
 
     # Executions
@@ -281,7 +285,7 @@
         client, command.client = command.client, None
         execution, command.execution = command.execution, None
         self._loop.cancel(command.limit)
-        self._outcomes[command.cls].completed += 1
+        self._outcomes[command.wants.cls].completed += 1
         command.session = client.serve(execution, token)
 
     def execution_over(self, token: int, result: api.Result, report: api.Report | None) -> None:
@@ -303,6 +307,7 @@
         """Pass on a connection's new load."""
         command = self._commands.get(token)
         if command is not None:
+            command.load = load
             self.queue(api.LoadNote(token, command.attempt, command.host, load))
 
     def session_delay(self, token: int, delay_us: int) -> None:
@@ -332,6 +337,39 @@
         if command is not None:
             self._ended(token, command, result, report, finished=True)
 
+    # Another process
+
+    def identities(self) -> list[bytes]:
+        """Return the ids of the open commands."""
+        return list(self._identities)
+
+    def sessions(self) -> list[tuple[int, Command]]:
+        """Return the connections that stand, under their tokens."""
+        return [(token, command) for token, command in self._commands.items() if command.session is not None]
+
+    def release(self, token: int) -> None:
+        """Let go of a connection that another process has taken over."""
+        command = self._remove(token)
+        if command is not None and command.session is not None:
+            command.session.release()
+            self._ended(token, command, api.Result.CANCELLED, None, finished=True)
+
+    def adopt(self, wants: Wants, host: str, join: Callable[[int], Session]) -> None:
+        """Go on with a connection that another process held."""
+        command = Command(None, wants, self._loop.now)
+        command.attempt, command.host, command.begun_at = 0, host, self._loop.now
+        token = self._commands.add(command)
+        self._figures.pending += 1
+        self._identify(token, command)
+        arrival = api.Arrival(token, wants.cls, 0, key=wants.key, load=wants.load, group=wants.group)
+        self.queue(api.Resumed(arrival, host))
+        command.session = join(token)
+
+    def _identify(self, token: int, command: Command) -> None:
+        if command.wants.identity:
+            self._identities[command.wants.identity] = token
+            self.outside.identity(command.wants.identity, True)
+
     # Actions
 
     def _do_send(self, action: api.Send) -> None:
@@ -347,7 +385,7 @@
         if address is None or wait <= 0 or not self._open(action.server):
             self._ended(action.request, command, api.Result.NOT_SENT, None, finished=False)
             return
-        command.execution = self.outside.begin(action.request, command.payload, address, wait)
+        command.execution = self.outside.begin(action.request, command.wants.payload, address, wait)
 
     def _answered(self, token: int) -> tuple[Client, Outcomes] | None:
         """Close a command that is about to get its final answer; None if it has had one."""
@@ -356,7 +394,7 @@
             return None
         client, command.client = command.client, None
         self._drop(token, command)
-        return client, self._outcomes[command.cls]
+        return client, self._outcomes[command.wants.cls]
 
     def _do_refuse(self, action: api.Refuse) -> None:
         answered = self._answered(action.request)
--- a/larchhaven/net/buffers.py
+++ b/larchhaven/net/buffers.py
@@ -108,13 +108,16 @@
 class Stream:
     """A TCP connection with at most one buffer each way."""
 
-    def __init__(self, loop: Loop, pool: Pool, sock: socket.socket, owner: Owner) -> None:
+    owner: Owner  # set by whoever takes the stream over, if not at once
+
+    def __init__(self, loop: Loop, pool: Pool, sock: socket.socket, owner: Owner | None = None) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._loop = loop
         self._pool = pool
         self._sock = sock
-        self.owner = owner
+        if owner is not None:
+            self.owner = owner
         self.inbox: Buffer | None = None
         self._outbox: Buffer | None = None
         self._reading = True
@@ -140,8 +143,24 @@
         stream._watch()
         return stream
 
+    @property
+    def descriptor(self) -> int:
+        """The system's number of the connection."""
+        return self._sock.fileno()
+
+    def outbox(self) -> bytes:
+        """Return what was written and is not sent yet."""
+        return bytes(self._outbox.held()) if self._outbox is not None else b""
+
     # Reading
 
+    def put_back(self, data: bytes) -> None:
+        """Hold input that was read elsewhere, before any of our own."""
+        if data and (buffer := self._pool.take()) is not None:
+            buffer.room()[: len(data)] = data
+            buffer.end = len(data)
+            self.inbox = buffer
+
     def pause(self) -> None:
         """Read no more until resumed: the backpressure on the other side."""
         self._reading = False
--- a/larchhaven/net/clients.py
+++ b/larchhaven/net/clients.py
@@ -115,7 +115,7 @@
         """Join the client to the instance that took its command."""
         assert isinstance(execution, TextExecution) and execution.stream is not None  # it has come up
         return Relay(
-            self._loop, self.stream, execution.stream, execution.up_line, self._listener.broker, token
+            self._loop, self.stream, execution.stream, self._listener.broker, token, execution.up_line
         )
 
 
@@ -131,6 +131,7 @@
         address: tuple[str, int],
         classes: Mapping[str, int],
         descriptors: int,
+        inherited: int | None = None,
     ) -> None:
         self.loop = loop
         self.pool = pool
@@ -142,11 +143,16 @@
         self._silent_most = max(int(SILENT_SHARE * descriptors), 1)
         # Those that have not brought a first line yet, the oldest first.
         self._silent: dict[ServiceClient, None] = {}
-        self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._sock.bind(address)
-        self._sock.listen(BACKLOG)
-        self._channel = loop.add(self._sock, READ, self._on_ready)
+        self.accepting = False
+        if inherited is not None:  # bound and held by the platform, and by other processes
+            self._sock = socket.socket(fileno=inherited)
+            self._sock.setblocking(False)
+        else:
+            self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            self._sock.bind(address)
+            self._sock.listen(BACKLOG)
+        self._channel = loop.add(self._sock, 0, self._on_ready)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -154,6 +160,22 @@
         host, port = self._sock.getsockname()
         return host, port
 
+    def open(self) -> None:
+        """Begin to take clients."""
+        self.accepting = True
+        self.loop.set_events(self._channel, READ)
+
+    def stop(self) -> None:
+        """Take no more clients; whoever holds the socket too goes on."""
+        if self.accepting:
+            self.accepting = False
+            self.loop.remove(self._channel)
+            self._sock.close()
+
+    def silent(self) -> int:
+        """Count the clients that have not brought a first line yet."""
+        return len(self._silent)
+
     def count_out(self, client: ServiceClient) -> None:
         """Count a client as heard, answered or gone."""
         self._silent.pop(client, None)
@@ -197,4 +219,4 @@
     def _pause(self, why: str) -> None:
         self.notices.tell("accepting rests", why)
         self.loop.set_events(self._channel, 0)
-        self.loop.after(SHORT_REST_US, lambda: self.loop.set_events(self._channel, READ))
+        self.loop.after(SHORT_REST_US, lambda: self.loop.set_events(self._channel, READ))  # none once closed
--- a/larchhaven/net/config.py
+++ b/larchhaven/net/config.py
@@ -52,6 +52,7 @@
     seed: int
     limits: Limits
     mgmt: tuple[str, int] | None
+    socket_fd: int | None  # the clients' listening socket, if the platform holds it
     peer_listen: tuple[str, int] | None
     peers: tuple[tuple[str, int], ...]
     peers_all: tuple[str, int] | None
@@ -104,6 +105,9 @@
         raise ConfigError(f"seed must be a hexadecimal number, not {file.seed!r}") from None
     services = file.settings.get("services")
     mgmt = file.mgmt or environment.get("EDGE_MGMT", "")
+    socket_fd = environment.get("EDGE_SOCKET_FD", "")
+    if socket_fd and not (socket_fd.isascii() and socket_fd.isdigit()):
+        raise ConfigError(f"EDGE_SOCKET_FD must be a descriptor's number, not {socket_fd!r}")
     names = [str(service.get("name", "")) for service in services] if isinstance(services, list) else []
     return Config(
         name=file.name or environment.get("EDGE_NAME", ""),
@@ -112,6 +116,7 @@
         seed=seed,
         limits=file.limits,
         mgmt=_address(mgmt, "mgmt") if mgmt else None,
+        socket_fd=int(socket_fd) if socket_fd else None,
         peer_listen=_address(file.peer_listen, "peer_listen") if file.peer_listen else None,
         peers=tuple(_address(peer, "peers") for peer in file.peers),
         peers_all=_address(file.peers_all, "peers_all") if file.peers_all else None,
--- a/larchhaven/net/lines.py
+++ b/larchhaven/net/lines.py
@@ -186,33 +186,33 @@
 class LineCounter:
     """Follows the lines of a byte stream that is passed on as it comes, and keeps the beginning of each."""
 
-    __slots__ = ("_cr", "_head", "midline")
+    __slots__ = ("cr", "head", "midline")
 
     HEAD = 256
 
     def __init__(self) -> None:
-        self._head = bytearray()
-        self._cr = False  # the last byte was a CR, which an LF would make a line's end
+        self.head = bytearray()
+        self.cr = False  # the last byte was a CR, which an LF would make a line's end
         self.midline = False
 
     def feed(self, data: bytes) -> list[bytes]:
         """Take the next bytes and return the beginnings of the lines that they complete."""
         done: list[bytes] = []
         start = 0
-        if self._cr and data.startswith(b"\n"):
-            done.append(bytes(self._head).removesuffix(b"\r"))
-            self._head.clear()
+        if self.cr and data.startswith(b"\n"):
+            done.append(bytes(self.head).removesuffix(b"\r"))
+            self.head.clear()
             start = 1
         while (end := data.find(END, start)) >= 0:
             self._keep(data[start:end])
-            done.append(bytes(self._head))
-            self._head.clear()
+            done.append(bytes(self.head))
+            self.head.clear()
             start = end + len(END)
         self._keep(data[start:])
         if data:
             self.midline = start < len(data)
-            self._cr = self.midline and data.endswith(b"\r")
+            self.cr = self.midline and data.endswith(b"\r")
         return done
 
     def _keep(self, data: bytes) -> None:
-        self._head += data[: max(self.HEAD - len(self._head), 0)]
+        self.head += data[: max(self.HEAD - len(self.head), 0)]
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -6,22 +6,26 @@
 import os
 import resource
 import signal
+import socket
+from collections.abc import Sequence
 from dataclasses import replace
 from http import HTTPStatus
 
 from larchhaven import interface as api
-from larchhaven.net.broker import Broker, Outside
-from larchhaven.net.buffers import SIZE, Pool
+from larchhaven.net.broker import Broker, Outside, Wants
+from larchhaven.net.buffers import SIZE, Pool, Stream
 from larchhaven.net.clients import Listener
 from larchhaven.net.config import Config, ConfigError, load
 from larchhaven.net.discovery import Directory, Discovery, HostList
 from larchhaven.net.executions import TextExecution
 from larchhaven.net.figures import Figures
+from larchhaven.net.handover import VERSION, Handover, Known, Standing, mark
 from larchhaven.net.loop import Loop
 from larchhaven.net.management import DESCRIPTORS, Management
 from larchhaven.net.notices import Notices
 from larchhaven.net.peers import Peers
 from larchhaven.net.probes import Probes
+from larchhaven.net.relay import Relay
 from larchhaven.net.suspensions import Suspensions
 
 # The part of the memory limit that buffers may fill.
@@ -35,7 +39,12 @@
 # New connections come for a while after the signal to stop, as other parties learn of it late; the process
 # stays until none has come for so long.
 ARRIVALS_END_US = 1_000_000
-STOP_LOOK_US = 100_000
+STOP_LOOK_US = 50_000
+# Beside another process: a connection that could not be passed on is tried again after the first time, those
+# that are left after the second are moved, and the process ends this much after the longest deadline.
+PASS_AGAIN_US = 5_000
+PASS_MOST_US = 500_000
+END_US = 400_000
 
 _log = logging.getLogger("larchhaven")
 
@@ -48,19 +57,23 @@
         settings = config.settings
         self._loop = loop = Loop()
         self._notices = notices = Notices(loop)
-        pool = Pool(max(int(BUFFER_SHARE * config.limits.memory_mb * (1 << 20)) // SIZE, 64))
+        self._pool = pool = Pool(max(int(BUFFER_SHARE * config.limits.memory_mb * (1 << 20)) // SIZE, 64))
         self._figures = Figures.of(list(config.classes))
         self._broker = broker = Broker(loop, notices, settings, config.seed, self._figures)
         self._directory = Directory(config.zones, config.kinds)
-        self._suspensions = Suspensions(os.environ.get("TMPDIR", ""), self._on_suspended)
+        folder = os.environ.get("TMPDIR", "")
+        shared = config.socket_fd is not None  # with another process, during an upgrade
+        self._suspensions = Suspensions(folder, self._on_suspended)
+        self._reports: dict[str, tuple[int, api.Report]] = {}  # the latest, and when it came
         self._probes = Probes(loop, pool, settings.connect_timeout_us, self._on_probe)
         self._directory.forget = self._probes.drop
         self._discovery = Discovery(loop, pool, notices, config.discovery, config.known.seq, self._on_list)
         self._peers: Peers | None = None
         if config.peer_listen is not None:
             self._peers = Peers(
-                loop, notices, config.peer_listen, config.peers, config.peers_all, self._on_peer
+                loop, notices, config.peer_listen, config.peers, config.peers_all, self._on_peer, shared
             )
+        self._handover = Handover(loop, notices, folder if shared else "", self)
 
         def begin(token: int, first_line: bytes, address: tuple[str, int], wait_us: int) -> TextExecution:
             return TextExecution(
@@ -75,13 +88,17 @@
             watch=self._discovery.watch,
             fetch=self._discovery.fetch,
             tell=self._tell,
+            identity=self._handover.identity,
+            is_open_elsewhere=self._handover.is_open_elsewhere,
         )
         descriptors = self._descriptors() - (DESCRIPTORS if config.mgmt is not None else 0)
-        self._listener = Listener(loop, pool, broker, notices, config.listen, config.classes, descriptors)
+        self._listener = Listener(
+            loop, pool, broker, notices, config.listen, config.classes, descriptors, config.socket_fd
+        )
         self._management: Management | None = None
         if config.mgmt is not None:
-            self._management = Management(loop, config.mgmt, self, shared=False)
-        loop.turn_end = broker.turn
+            self._management = Management(loop, config.mgmt, self, shared)
+        loop.turn_end = self._end_turn
         self._stopping = False
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.on_signal(number, self._on_stop)
@@ -95,13 +112,25 @@
         if not self._config.settings.subscribe:
             # The simulator's "automatic" sends news unasked; over HTTP nothing comes without a watch.
             self._discovery.watch(True)
+        if self._config.socket_fd is not None:
+            self._handover.begin(self._open)
+        else:
+            self._open()
         self._broker.turn()
+        self._loop.run()
+        _log.info("stopped")
+
+    def _open(self) -> None:
+        self._listener.open()
         host, port = self._listener.address
         if self._management is not None:
             _log.info("management at %s:%d", *self._management.address)
         _log.info("%s listens at %s:%d", self._config.name or "larchhaven", host, port)
-        self._loop.run()
-        _log.info("stopped")
+
+    def _end_turn(self) -> None:
+        self._broker.turn()
+        if self._stopping and self._handover.has_younger:
+            self._pass_on()
 
     def _descriptors(self) -> int:
         """Take what the configuration grants, as far as the system lets us."""
@@ -123,20 +152,81 @@
         self._broker.queue(self._directory.take(kind, told, self._loop.now))
 
     def _on_probe(self, host: str, result: api.Result, latency_us: int, report: api.Report | None) -> None:
+        if report is not None:
+            self._reports[host] = (self._loop.now, report)
         self._broker.queue(api.ProbeResult(host, result, latency_us, report))
 
     def _on_peer(self, sender: int, data: bytes) -> None:
         self._broker.queue(api.PeerMessage(sender, data))
 
     def _tell(self, peer: int | None, data: bytes) -> None:
-        if self._peers is not None:
+        """Pass on a message to other proxies, and to the other process of an upgrade: it has our number."""
+        if self._peers is not None and peer != self._config.settings.index:
             self._peers.tell(peer, data)
+        self._handover.tell(data)
+
+    # The other process of an upgrade
+
+    def known(self) -> Known:
+        """Return what the younger process must know; suspensions are in their file."""
+        reports = [(host, at, report) for host, (at, report) in self._reports.items()]
+        return Known(VERSION, reports, [mark(identity) for identity in self._broker.identities()])
+
+    def on_known(self, known: Known) -> None:
+        """Take what the older process knows: its reports are as old as they are."""
+        for host, at, report in known.reports:
+            age = max(self._loop.now - at, 0)
+            self._broker.queue(api.ProbeResult(host, api.Result.OK, age, report))
+
+    def on_heard(self, data: bytes) -> None:
+        """Take a message of the other process's decision module."""
+        self._broker.queue(api.PeerMessage(self._config.settings.index, data))
+
+    def on_standing(self, standing: Standing, descriptors: Sequence[int]) -> None:
+        """Go on with a connection that the older process held."""
+        loop, pool, broker = self._loop, self._pool, self._broker
+        client, instance = (Stream(loop, pool, socket.socket(fileno=number)) for number in descriptors)
+        wants = Wants(
+            payload=b"",
+            cls=min(max(standing.cls, 0), len(self._config.settings.classes) - 1),
+            wait_us=0,
+            identity=standing.identity,
+            key=standing.key,
+            group=standing.group,
+            load=standing.load,
+        )
+        broker.adopt(
+            wants,
+            standing.host,
+            lambda token: Relay(loop, client, instance, broker, token, standing.relay),
+        )
+
+    def _pass_on(self) -> None:
+        """Pass on what stands, as far as it goes; what comes up meanwhile follows."""
+        for token, command in self._broker.sessions():
+            relay, wants = command.session, command.wants
+            state = relay.state() if isinstance(relay, Relay) else None
+            if state is None or not isinstance(relay, Relay):
+                continue  # it is about to end
+            standing = Standing(
+                identity=wants.identity,
+                cls=wants.cls,
+                host=command.host,
+                relay=state,
+                key=wants.key,
+                group=wants.group,
+                load=command.load,
+            )
+            if not self._handover.pass_on(standing, relay.descriptors()):
+                self._loop.after(PASS_AGAIN_US, lambda: None)  # the next turn tries again
+                return
+            self._broker.release(token)
 
     # What operators ask
 
     def is_ready(self) -> bool:
         """Tell whether this process takes clients: it accepts and knows instances to send them to."""
-        return self._directory.members() > 0
+        return self._listener.accepting and self._directory.members() > 0
 
     def figures(self) -> bytes:
         """Return the figures as JSON."""
@@ -209,15 +299,31 @@
             return
         self._stopping = True
         _log.info("told to stop")
+        if self._config.socket_fd is not None:
+            # Whoever comes now waits in the socket for the process that holds it next.
+            self._listener.stop()
+            longest = max(c.deadline_us for c in self._config.settings.classes)
+            self._loop.after(max(longest, LEAVE_MOST_US) + END_US, self._loop.stop)
+            self._loop.after(PASS_MOST_US if self._handover.has_younger else 0, self._move_all)
+            self._leave_when_done()
+        else:
+            self._move_all()
+            self._loop.after(ARRIVALS_END_US, self._leave_when_done)
+
+    def _move_all(self) -> None:
+        """Have the connections moved that are still here, unless packets pass through."""
         settings = self._config.settings
         if not settings.pass_through:
             longest = max(c.deadline_us for c in settings.classes)
             self._broker.queue(api.Leaving(min(longest, LEAVE_MOST_US)))
-        self._loop.after(ARRIVALS_END_US, self._leave_when_done)
 
     def _leave_when_done(self) -> None:
-        broker = self._broker
-        if broker.held() or self._loop.now < broker.arrived_at + ARRIVALS_END_US:
+        broker, listener = self._broker, self._listener
+        if listener.accepting:
+            busy = self._loop.now < broker.arrived_at + ARRIVALS_END_US
+        else:
+            busy = bool(listener.silent() or self._pool.parting)
+        if broker.held() or busy:
             self._loop.after(STOP_LOOK_US, self._leave_when_done)
         else:
             self._loop.stop()
--- a/larchhaven/net/peers.py
+++ b/larchhaven/net/peers.py
@@ -25,6 +25,7 @@
         peers: Sequence[Address],
         everyone: Address | None,
         heard: Callable[[int, bytes], None],
+        shared: bool,
     ) -> None:
         self._notices = notices
         self._peers = list(peers)
@@ -33,6 +34,8 @@
         self._heard = heard
         self._own = listen
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK)
+        if shared:  # with the other process of an upgrade; the younger one gets what comes
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._sock.bind(listen)
         loop.add(self._sock, READ, self._on_ready)
 
--- a/larchhaven/net/relay.py
+++ b/larchhaven/net/relay.py
@@ -5,6 +5,8 @@
 from collections import deque
 from typing import Protocol
 
+import msgspec
+
 from larchhaven import interface as api
 from larchhaven.net import lines
 from larchhaven.net.buffers import LINGER_US, Stream
@@ -46,6 +48,24 @@
         """Take how the connection ended."""
 
 
+class SideState(msgspec.Struct):
+    """One side of a relay: bytes read and not passed on, bytes to be sent, and where its lines are."""
+
+    inbox: bytes
+    outbox: bytes
+    head: bytes
+    cr: bool
+    midline: bool
+
+
+class RelayState(msgspec.Struct):
+    """All that another process needs, beside the descriptors, to go on with a connection."""
+
+    client: SideState
+    instance: SideState
+    asked: list[int]
+
+
 class _Side:
     """One side of the relay, as the owner of its stream."""
 
@@ -55,6 +75,20 @@
         self.count = lines.LineCounter()
         stream.owner = self
 
+    def state(self) -> SideState:
+        """Return what another process needs to go on with this side."""
+        inbox = self.stream.inbox
+        held = bytes(inbox.held()) if inbox is not None else b""
+        count = self.count
+        return SideState(held, self.stream.outbox(), bytes(count.head), count.cr, count.midline)
+
+    def go_on(self, state: SideState) -> None:
+        """Go on from where another process was."""
+        self.stream.write(state.outbox)
+        self.stream.put_back(state.inbox)
+        self.count.head[:] = state.head
+        self.count.cr, self.count.midline = state.cr, state.midline
+
     def on_open(self) -> None:
         """Nothing: the connection stands already."""
 
@@ -79,7 +113,13 @@
     """One served connection."""
 
     def __init__(
-        self, loop: Loop, client: Stream, instance: Stream, up_line: bytes, owner: SessionOwner, token: int
+        self,
+        loop: Loop,
+        client: Stream,
+        instance: Stream,
+        owner: SessionOwner,
+        token: int,
+        first: bytes | RelayState,
     ) -> None:
         self._loop = loop
         self._owner = owner
@@ -94,12 +134,39 @@
         self._over = False
         self._heard_at = loop.now
         self._idle = loop.after(IDLE_US, self._on_idle)
-        client.write(up_line + lines.END)
+        if isinstance(first, bytes):
+            client.write(first + lines.END)
+        else:
+            self._client.go_on(first.client)
+            self._instance.go_on(first.instance)
+            self._asked.extend(first.asked)
+            if self._asked:
+                self._look = loop.after(LOOK_US, self._look_again)
         self.pass_on(self._client)
         self.pass_on(self._instance)
         if instance.ended:
             self.on_side_end(self._instance)
 
+    # To another process
+
+    def state(self) -> RelayState | None:
+        """Return what another process needs to go on with the connection; None if it is about to end."""
+        if self._over or self._moving or self._ending is not None:
+            return None
+        return RelayState(self._client.state(), self._instance.state(), list(self._asked))
+
+    def descriptors(self) -> tuple[int, int]:
+        """Return the descriptors of the client's and the instance's side."""
+        return self._client.stream.descriptor, self._instance.stream.descriptor
+
+    def release(self) -> None:
+        """Let go of a connection that another process holds now; nobody at its ends notices."""
+        self._over = True
+        for deadline in (self._look, self._idle, self._closing):
+            self._loop.cancel(deadline)
+        self._client.stream.close()
+        self._instance.stream.close()
+
     def other(self, side: _Side) -> _Side:
         """Return the side across."""
         return self._instance if side is self._client else self._client
--- a/larchhaven/net/slots.py
+++ b/larchhaven/net/slots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
@@ -42,6 +43,12 @@
             return None
         return self._items[index]
 
+    def items(self) -> Iterator[tuple[int, T]]:
+        """Yield the items held, under their tokens."""
+        for index, item in enumerate(self._items):
+            if item is not None:
+                yield self._generations[index] << INDEX_BITS | index, item
+
     def remove(self, token: int) -> T | None:
         """Free the slot and return its item; a stale token frees nothing."""
         item = self.get(token)
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -92,7 +92,11 @@
 class Proxy:
     """The program as a process, with so many instances that the test plays."""
 
-    def __init__(self, folder: Path, servers: int = 2, sockets: int = 1024, **settings: Any) -> None:
+    def __init__(
+        self, folder: Path, servers: int = 2, sockets: int = 1024, held: bool = False, **settings: Any
+    ) -> None:
+        self.folder = folder
+        self.held = listener() if held else None  # the clients' socket, as a platform holds it
         self.instances = [listener() for _ in range(servers)]
         self.discovery = listener()
         self.configuration = self.config(**settings)
@@ -106,12 +110,26 @@
                 free.bind(("127.0.0.1", 0))
                 own = dial(free)
             self.configuration |= {"peer_listen": own, "peers": [own, dial(self.peer)]}
-        self.path = path = folder / "config.json"
-        path.write_text(json.dumps(self.configuration))
+        self.path = folder / "config.json"
+        self.start()
+
+    def beside(self) -> Proxy:
+        """Start the next process beside this one; the two share all that a test plays."""
+        younger = copy.copy(self)
+        younger.start()
+        return younger
+
+    def start(self) -> None:
+        self.path.write_text(json.dumps(self.configuration))
+        environment = {**os.environ, "EDGE_CONFIG": str(self.path), "TMPDIR": str(self.folder)}
+        descriptors = [self.held.fileno()] if self.held is not None else []
+        if descriptors:
+            environment["EDGE_SOCKET_FD"] = str(descriptors[0])
         self.process = subprocess.Popen(
             [sys.executable, "-m", "larchhaven"],
             cwd=ROOT,
-            env={**os.environ, "EDGE_CONFIG": str(path), "TMPDIR": str(folder)},
+            env=environment,
+            pass_fds=descriptors,
             stderr=subprocess.PIPE,
             text=True,
         )
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import Any
 
 import pytest
 
@@ -45,6 +46,9 @@
         self.answers.append("served")
         return self
 
+    def release(self) -> None:
+        self.answers.append("released")
+
     def move(self) -> None:
         self.answers.append("moved")
 
@@ -58,7 +62,8 @@
 def broker(world: World) -> Broker:
     loop = Loop()
     made = Broker(loop, Notices(loop), PLAIN, 1, Figures.of(["chat"]))
-    made.outside = Outside(world, world.begin, *(lambda *_: None for _ in range(5)))
+    nothing: Any = lambda *_: None  # noqa: E731
+    made.outside = Outside(world, world.begin, *[nothing] * 7)
     made.queue(api.FleetList(api.ListKind.COMPLETE, 1, (api.ServerEntry("s0"),)))
     loop.turn_end = made.turn
     return made
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,184 @@
+"""Two processes of the real program side by side, on a socket that the test holds as a platform does."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from larchhaven.net.handover import Hello
+from tests.rig import PATIENCE, Proxy, opening
+
+PLAIN = "c=chat,d=2000,g=ab"
+
+
+@pytest.fixture
+def older(tmp_path: Path, request: pytest.FixtureRequest) -> Iterator[Proxy]:
+    """Start the process that is to be replaced."""
+    made = Proxy(tmp_path, held=True, **getattr(request, "param", {}))
+    yield made
+    assert "Traceback" not in made.close()
+
+
+def stop(older: Proxy) -> None:
+    older.process.send_signal(signal.SIGTERM)
+    assert older.process.wait(PATIENCE) == 0
+
+
+def finish(younger: Proxy) -> None:
+    younger.process.kill()
+    _, log = younger.process.communicate()
+    assert "Traceback" not in log, log
+
+
+def pending(proxy: Proxy) -> int:
+    return int(proxy.call("GET", "/v1/metrics")[1]["pending"])
+
+
+@pytest.mark.parametrize("older", [{}, {"family_info": {"mode": "proxy", "park": 0}}], indirect=True)
+def test_connections_go_on_in_the_next_process_byte_for_byte(older: Proxy) -> None:
+    """Guards clients that an upgrade would cut off or move: also in the midst of a line."""
+    pairs = [older.opened() for _ in range(3)]
+    client, instance = pairs[0]
+    client.sock.sendall(b"half a li")
+    instance.sock.sendall(b"first\r\nhalf an an")
+    assert client.line() == "first" and instance.file.read(9) == b"half a li"
+    flooded, source = pairs[1]
+    block = b"0123456789abcde\n" * 512
+    source.sock.settimeout(0.3)
+    sent = 0
+    with pytest.raises(TimeoutError):  # the client does not read: buffers fill on the way
+        while True:
+            sent += source.sock.send(block)
+    source.sock.settimeout(PATIENCE)
+    younger = older.beside()
+    stop(older)
+    client.send("ne")
+    assert instance.line() == "ne"
+    instance.send("swer")
+    assert client.line() == "half an answer"
+    assert flooded.file.read(sent) == (block * (sent // len(block) + 1))[:sent]
+    pairs[2][0].reset()
+    with pytest.raises(ConnectionResetError):
+        pairs[2][1].file.read()
+    assert pending(younger) == 2
+    finish(younger)
+
+
+def test_command_under_way_is_finished_and_its_connection_passed_on(older: Proxy) -> None:
+    """Guards the one answer of a command that an upgrade finds unanswered, and its one execution."""
+    silent = older.client()
+    assert older.client("PING").line() == "PONG"  # those before it are accepted
+    first = opening("c=chat,d=3000,g=ab")
+    waiting = older.client(first)
+    instance = older.accept()
+    assert instance.line()
+    younger = older.beside()
+    older.process.send_signal(signal.SIGTERM)
+    while b"told to stop" not in older.log_line().encode():
+        pass
+    silent.send(opening("c=chat,d=3000,g=ab"))
+    second = older.accept()
+    assert second.line()
+    again = younger.client(first)
+    assert again.line() == "ERR"  # the older process holds a command of this id
+    for end, at in ((waiting, instance), (silent, second)):
+        at.send("UP 1")
+        assert end.line() == "UP 1"
+    assert older.process.wait(PATIENCE) == 0
+    waiting.send("still there")
+    assert instance.line() == "still there"
+    finish(younger)
+
+
+def test_nobody_is_turned_away_while_processes_change(older: Proxy) -> None:
+    proxy = older
+    for _ in range(3):
+        younger = proxy.beside()
+        proxy.process.send_signal(signal.SIGTERM)
+        clients = [younger.client(opening(PLAIN)) for _ in range(10)]
+        for _ in clients:
+            instance = older.accept()
+            assert instance.line()
+            instance.send("UP 1")
+        assert {client.line() for client in clients} == {"UP 1"}
+        assert proxy.process.wait(PATIENCE) == 0
+        for client in clients:
+            client.close()
+        proxy = younger
+    finish(proxy)
+
+
+def test_both_processes_know_of_a_suspension_that_either_was_told(older: Proxy) -> None:
+    younger = older.beside()
+    for told, other, name in ((older, younger, "s0"), (younger, older, "s1")):
+        before = other.call("GET", "/v1/metrics")[1]["members_unavailable"]
+        assert told.call("POST", f"/v1/exam-servers/{name}/suspend")[0] == 200
+        until = time.monotonic() + PATIENCE
+        while other.call("GET", "/v1/metrics")[1]["members_unavailable"] == before:
+            assert time.monotonic() < until
+    finish(younger)
+
+
+@pytest.mark.parametrize("number", [0, 1])
+def test_next_process_knows_where_a_connection_stands(tmp_path: Path, number: int) -> None:
+    """Guards packets that reach the next process while their connection is still with the older one."""
+    older = Proxy(tmp_path, held=True, instances=2)
+    client = older.client(first := opening(f"{PLAIN},at=s{number}"))
+    instance = older.accept(older.instances[number])
+    assert instance.line()
+    instance.send("UP 1")
+    assert client.line() == "UP 1"
+    younger = older.beside()
+    stop(older)
+    again = younger.client(first.replace(f"at=s{number}", "mid=1"))
+    assert "mid=1" in older.accept(older.instances[number]).line()
+    again.close()
+    finish(younger)
+    older.close()
+
+
+@pytest.mark.parametrize(
+    "what", ["nothing", "a file", "a dead socket", "silence", "garbage", "another version"]
+)
+def test_state_that_is_absent_stale_or_broken_means_a_plain_start(tmp_path: Path, what: str) -> None:
+    path = tmp_path / "larchhaven-upgrade.sock"
+    folder = os.open(tmp_path, os.O_RDONLY)
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as other:
+        if what == "a file":
+            path.write_text("not a socket")
+        elif what != "nothing":
+            other.bind(f"/proc/self/fd/{folder}/{path.name}")
+            other.listen()
+        if what == "a dead socket":
+            other.close()
+        proxy = Proxy(tmp_path, held=True)
+        assert proxy.call("GET", "/v1/readyz")[0] == 200
+        ends = proxy.opened()
+        ends[0].close()
+    os.close(folder)
+    assert "Traceback" not in proxy.close()
+
+
+@pytest.mark.parametrize("said", [b"\xff\x00garbage", b"x" * 200_000, msgspec.msgpack.encode(Hello(99))])
+def test_stranger_at_the_upgrade_socket_changes_nothing(older: Proxy, tmp_path: Path, said: bytes) -> None:
+    folder = os.open(tmp_path, os.O_RDONLY)
+    with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as stranger:
+        stranger.settimeout(PATIENCE)
+        stranger.connect(f"/proc/self/fd/{folder}/larchhaven-upgrade.sock")
+        stranger.send(said)
+        assert stranger.recv(100) == b""
+    os.close(folder)
+    ends = older.opened()
+    younger = older.beside()
+    stop(older)
+    ends[0].send("still there")
+    assert ends[1].line() == "still there"
+    assert pending(younger) == 1
+    finish(younger)
