Tell the process that takes over what was learnt: loads, arrivals, credit for moves

Trace: from 12 s on one server stays above 0.9 of its capacity for ten seconds and more; the process started at 13.4 s has no credit for moves, no arrivals and takes each load for 0.04. Ruled out: connections lost or silent after they are passed on (no Stalled, no reset in the trace). What decides, in the same trace: while three servers are cold and closed to this instance (open_at), the clients of three draining ones all go to the one warm server, which jams at 1.32.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -9,6 +9,7 @@
 
 import math
 import random
+import struct
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
@@ -79,8 +80,8 @@
 REFUSE_ALL = 0.85
 # What an arrival is worth is ranked among so many arrivals before it.
 DENSITIES = 32
-# Messages between instances: where connections stand, who knows of one, and that an instance has started.
-HELD, ASKED, STARTED = b"H", b"Q", b"S"
+# Messages between instances: where connections stand, who knows of one, that one has started, what it learnt.
+HELD, ASKED, STARTED, LEARNT = b"H", b"Q", b"S", b"L"
 # So many bytes of a connection's key, hashed, and of its server's id are an entry; so many fit in a message.
 TAG, MARK, TOLD_MOST = 4, 2, 42
 # A mid-flow connection that nobody here knows waits so long for another instance to tell where it stands.
@@ -174,6 +175,7 @@
         self.timers: dict[int, Callable[[], None]] = {}
         self.next_token = 1
         self.class_load = [FIRST_LOAD] * len(settings.classes)
+        self.learnt = struct.Struct(f"<{3 + len(self.class_load)}d")  # what one that takes over is told
         self.ask_span = 0
         self.failures = 0  # set-ups that failed since one last stood
         self.gate_at = 0  # no set-up before
@@ -289,10 +291,7 @@
         self._after(wait_us, lambda: self._resume_held(conn) if conn.turn == turn else None)
 
     def _holder(self, conn: Conn) -> Server | None:
-        """Where a mid-flow connection is known to stand, also while that server drains, within the grace.
-
-        Any other mid-flow connection is placed like a new one; its client sets up again.
-        """
+        """Where a mid-flow connection is known to stand, also while that server drains, within the grace."""
         if conn.at is not None:
             pinned = self.fleet.get(conn.at)
             return None if pinned is None or pinned.state is State.GONE else pinned
@@ -652,6 +651,12 @@
             self._tell_held(event.sender, [body])
         elif kind == STARTED:
             self._tell_held(event.sender, [conn.tag for conn in self.conns.values() if conn.flows])
+            if event.sender == self.settings.index:
+                learnt = len(self.arrivals), self.mean_load, self.move_credit, *self.class_load
+                self.actions.append(api.Tell(event.sender, LEARNT + self.learnt.pack(*learnt)))
+        elif kind == LEARNT and event.sender == self.settings.index and len(body) == self.learnt.size:
+            count, self.mean_load, self.move_credit, *self.class_load = self.learnt.unpack(body)
+            self.arrivals = deque([self.now] * int(count))
         elif kind == HELD:
             for at in range(0, len(body) - TAG - MARK + 1, TAG + MARK):
                 self._remember(body[at : at + TAG], body[at + TAG : at + TAG + MARK])
@@ -765,10 +770,7 @@
         return len(self.ejected) < EJECT_PART * len(self.ranking)
 
     def _shut_gate(self) -> None:
-        """Pace set-ups while one after the other fails, wherever it goes.
-
-        A shared dependency that is slow fails the set-ups of all servers; tries at once then keep it down.
-        """
+        """Pace set-ups while one after the other fails: a slow shared store is kept down by tries at once."""
         least = min(c.aim_us for c in self.settings.classes)
         span = min(least * GATE_SHARE * 2 ** min(self.failures - GATE_AFTER, 20), GATE_MOST * least)
         self.gate_at = self.now + int(span * (0.5 + self.rng.random()))
@@ -783,10 +785,7 @@
     # Admission
 
     def _fleet_ratio(self) -> float:
-        """Load over capacity of the whole fleet: reports, and what all instances have placed since.
-
-        A few jammed servers say nothing of the others: then the median is what a new connection meets.
-        """
+        """Load over capacity of the whole fleet, by the median where few jammed servers raise the mean."""
         unseen = self.settings.instances * self.unseen / self.weight if self.weight else 0.0
         told = sorted(s.ratio for s in self.fleet.values() if s.ratio is not None)
         return min(self._mean(), told[len(told) // 2] if told else 0.0) + unseen
@@ -801,11 +800,8 @@
         return rank < (self._fleet_ratio() - REFUSE_FROM) / (REFUSE_ALL - REFUSE_FROM)
 
     def _close_cold(self, server: Server, connections: float) -> None:
-        """Rule 4: take so many connections from this instance's fair part of a cold server's budget.
-
-        What it can do grows evenly from cold_from to all of it over its warm-up. The server is closed to this
-        instance until the integral of its part, a token bucket without a store, has paid for the connections.
-        """
+        """Rule 4: take so many connections from this instance's part of a cold server's growing budget."""
+        # Closed until the integral of its part has paid for them: a token bucket without a store.
         if server.warm_at <= self.now:
             return
         first, cold = self.settings.cold_from, self.settings.cold_us
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -12,6 +12,7 @@
 from http import HTTPStatus
 
 from larchhaven import interface as api
+from larchhaven.choice import STARTED
 from larchhaven.net.broker import Broker, Outside, Wants
 from larchhaven.net.buffers import SIZE, Pool, Stream
 from larchhaven.net.clients import Listener
@@ -169,6 +170,7 @@
 
     def known(self) -> Known:
         """Return what the younger process must know; suspensions are in their file."""
+        self.on_heard(STARTED)  # our decision module tells the other what it has learnt
         reports = [(host, at, report) for host, (at, report) in self._reports.items()]
         return Known(VERSION, reports, [mark(identity) for identity in self._broker.identities()])
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -9,7 +9,7 @@
 import pytest
 
 from larchhaven import interface as api
-from larchhaven.choice import Balancer
+from larchhaven.choice import STARTED, Balancer
 from tests.world import PLAIN, START, arrival, balancer, ended, entries, fleet, of, report
 
 
@@ -478,3 +478,32 @@
     b = balancer(2)
     actions = b.handle(START, [api.Suspended("s0", True), api.Suspended("s1", True), arrival(1)])
     assert [refusal.request for refusal in of(api.Refuse, actions)] == [1]
+
+
+def test_instance_that_takes_over_knows_what_was_learnt() -> None:
+    """Guards jams that stayed after an upgrade: the next process had no credit for moves and no loads."""
+    old, new = balancer(2, instances=2, can_tell=True), balancer(2, instances=2, can_tell=True)
+    sent = of(api.Send, old.handle(START, [arrival(i, load=0.3) for i in range(12)]))
+    old.handle(START + 1, [api.Established(send.request, 0, send.server, 500) for send in sent])
+    old.handle(START + 2, [api.LoadNote(send.request, 0, send.server, 0.5) for send in sent])
+    new.handle(START, [])
+    told = of(api.Tell, old.handle(START + 3, [api.PeerMessage(0, STARTED)]))
+    new.handle(START + 3, [api.PeerMessage(0, tell.data) for tell in told] * 2)
+    for name in ("mean_load", "move_credit", "class_load"):
+        assert getattr(new, name) == getattr(old, name) != getattr(balancer(2), name)
+    assert len(new.arrivals) == 12
+    new.handle(START + 4, [api.PeerMessage(1, tell.data[:1] + bytes(len(tell.data) - 1)) for tell in told])
+    assert new.mean_load == old.mean_load  # it is between the processes of one instance alone
+
+
+def test_connection_that_was_taken_over_is_known_and_moved_like_any_other() -> None:
+    b = balancer(2, instances=2, can_tell=True, pass_through=True)
+    b.handle(START, [])
+    resumed = api.Resumed(replace(arrival(1), key=77), "s1")
+    told = of(api.Tell, b.handle(START + 1, [resumed]))
+    assert [tell.data[:1] for tell in told] == [b"H"]
+    mid = replace(arrival(2), key=77, midflow=True)
+    assert [send.server for send in of(api.Send, b.handle(START + 2, [mid]))] == ["s1"]
+    actions = b.handle(START + 3, [api.Suspended("s1", True)])
+    timers = [api.TimerFired(timer.token) for timer in of(api.SetTimer, actions)]
+    assert api.Move(1) in b.handle(START + 6_000_000, timers)
