Fill cold servers twice as fast, as a release sent all clients to the last warm one

The trace shows three servers back from a release at a ratio of 0.1, closed to this instance (open_at) nine times in ten, while the clients of three others that drain all go to the one warm server, 0.82 at first, 1.32 for the next ten seconds.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -49,8 +49,8 @@
 TRY_SHARE = 0.5
 # A request without a ready server is looked at again this often, in parts of its set-up aim.
 HOLD_SHARE = 0.25
-# All instances together fill a cold server no faster than its present capacity would be over its warm-up.
-COLD_FILL = 1.0
+# All instances together fill a cold server this many times as fast as its present capacity in its warm-up.
+COLD_FILL = 2.0
 # First time out of an ejected server, the most it grows to by doubling, and how long it must be back for the
 # next to be a first one again; each is jittered.
 EJECT_US = 2_000_000
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -507,3 +507,17 @@
     actions = b.handle(START + 3, [api.Suspended("s1", True)])
     timers = [api.TimerFired(timer.token) for timer in of(api.SetTimer, actions)]
     assert api.Move(1) in b.handle(START + 6_000_000, timers)
+
+
+def test_cold_servers_take_their_part_while_the_warm_ones_are_near_full() -> None:
+    """Guards a release of the servers: clients of all that drained went to the one that was still warm."""
+    taken = 0
+    for seed in range(20):
+        b = balancer(1, seed, instances=2)
+        new = api.ServerEntry("new", started_at=START)
+        b.handle(START, [api.FleetList(api.ListKind.CHANGES, 2, (new,))])
+        for step in range(50):
+            now = START + 1 + step * 100_000
+            actions = b.handle(now, [report(0, 0.5), arrival(step, load=0.1)])
+            taken += sum(send.server == "new" for send in of(api.Send, actions))
+    assert taken / 20 >= 2  # about a quarter of its capacity in the first half of its warm-up
