Look at a jammed server again once its relief has shown, though nobody arrives

One server stays at 0.99 to 1.13 of its capacity from 14 s to 22 s; it is relieved of one connection at 14.0 s, probed at 14.6 and 16.4 s while that rests, and next at 20.6 s. Probes come with arrivals alone, and hardly any arrive. Ruled out: messages do not tell of a jam on sockets (no note in two traces); credit for moves (20 to spare).

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -51,8 +51,7 @@
 HOLD_SHARE = 0.25
 # All instances together fill a cold server this many times as fast as its present capacity in its warm-up.
 COLD_FILL = 2.0
-# First time out of an ejected server, the most it grows to by doubling, and how long it must be back for the
-# next to be a first one again; each is jittered.
+# First time out of an ejected server, the most it doubles to, and how long until the next is a first one.
 EJECT_US = 2_000_000
 EJECT_MOST_US = 30_000_000
 PROVEN_US = 10_000_000
@@ -78,8 +77,7 @@
 # Between these ratios of the whole fleet arrivals are refused, those of the least worth for their load first.
 REFUSE_FROM = 0.6
 REFUSE_ALL = 0.85
-# What an arrival is worth is ranked among so many arrivals before it.
-DENSITIES = 32
+DENSITIES = 32  # what an arrival is worth is ranked among so many before it
 # Messages between instances: where connections stand, who knows of one, that one has started, what it learnt.
 HELD, ASKED, STARTED, LEARNT = b"H", b"Q", b"S", b"L"
 # So many bytes of a connection's key, hashed, and of its server's id are an entry; so many fit in a message.
@@ -467,6 +465,7 @@
         if not goal < RELIEF_FROM < ratio or not server.conns or server.moved_until > self.now:
             return
         self._rest(server)
+        self._after(server.relief_at - self.now, partial(self._look_again, server))
         server.moved_until = server.relief_at
         excess = (1 - goal / ratio) * sum(conn.load for conn in server.conns.values())
         for conn in sorted(server.conns.values(), key=lambda c: -c.load):
@@ -477,6 +476,11 @@
                 self._move(conn)
             excess -= conn.load
 
+    def _look_again(self, server: Server) -> None:
+        """See whether the moves were enough, unless arrivals or messages have told meanwhile."""
+        if self.now - server.report_at > REPORT_LAG_US and server.slow_until <= self.now:
+            self._probe(server)
+
     # Timers
 
     def _after(self, delay_us: float, then: Callable[[], None]) -> None:
@@ -550,8 +554,7 @@
             server.started_at = entry.started_at
             self._forget_load(server)
             server.warm_at = entry.started_at + self.settings.cold_us if entry.started_at else 0
-            # A fair part of a cold server is often under one connection for each instance: a random
-            # phase keeps all of them from sending their first one together.
+            # A random phase keeps all instances from sending their first connection together.
             self._close_cold(server, self.rng.random())
         return server
 
@@ -596,9 +599,8 @@
                 self._resume_held(conn)
 
     def _take_report(self, server: Server, report: api.Report | None, latency_us: int) -> None:
-        if report is None:
-            return
-        ratio = report.ratio if report.ratio is not None else report.utilization
+        told = api.Report() if report is None else report
+        ratio = told.utilization if told.ratio is None else told.ratio
         if ratio is None:
             return
         ratio = min(ratio, SATURATED)
@@ -721,8 +723,7 @@
         ratios: list[float] = []
         ranking = self.ranking
         if conn.load > HEAVY * self.mean_load:
-            # A heavy connection adds unequally to servers of unequal capacity: its own load counts in the
-            # ratio it would meet, or it lands on a small server that stood a little lower and fills it alone.
+            # Its own load counts in the ratio it would meet, or it fills a small server that stood lower.
             ranking = sorted((r + conn.load / s.weight, tie, s) for r, tie, s in ranking)
         for ratio, _, server in ranking:
             need = (ratio - level) * capacity
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -521,3 +521,16 @@
             actions = b.handle(now, [report(0, 0.5), arrival(step, load=0.1)])
             taken += sum(send.server == "new" for send in of(api.Send, actions))
     assert taken / 20 >= 2  # about a quarter of its capacity in the first half of its warm-up
+
+
+def test_jammed_server_is_looked_at_again_although_nobody_arrives() -> None:
+    """Guards clients on a server that stayed jammed for ten seconds: only arrivals had it probed."""
+    b = balancer(3, can_probe=True)
+    sent = [b._admit(arrival(i, load=0.1)) for i in range(8)]
+    for conn in sent:
+        conn.out, conn.server = 0, b.fleet["s0"]
+    b.handle(START, [api.Established(conn.id, 0, "s0", 500) for conn in sent])
+    actions = b.handle(START + 1, [report(1, 0.2), report(2, 0.2), report(0, 1.3)])
+    timers = [api.TimerFired(timer.token) for timer in of(api.SetTimer, actions)]
+    again = of(api.Probe, b.handle(START + 4_000_000, timers))
+    assert [probe.server for probe in again] == ["s0"]
