Tell open ids both ways between two processes, and rest when callers find no descriptor

Seen on reading: while two processes take clients side by side, only the younger one knew the other's open ids, so the older one would have begun a second execution of a command that the younger one holds; a stranger at the upgrade socket could speak to the decision module without a hello; a management listener out of descriptors would have been ready again and again in a busy loop; the suspension file was looked at ten times a second also where no second process can be.

--- a/larchhaven/net/handover.py
+++ b/larchhaven/net/handover.py
@@ -47,7 +47,7 @@
 
 
 class Identity(msgspec.Struct, tag=True):
-    """A command of the older process has come, or is over."""
+    """A command of the sender has come, or is over."""
 
     mark: bytes
     on: bool
@@ -158,7 +158,7 @@
         self._younger: _Channel | None = None
         self._ready: Callable[[], None] | None = None
         self._limit: Deadline | None = None
-        self._identities: set[bytes] = set()  # marks of ids that are open at the older process
+        self._identities: set[bytes] = set()  # marks of ids that are open at the other process
 
     # The younger process
 
@@ -183,7 +183,7 @@
             ready()
 
     def is_open_elsewhere(self, identity: bytes) -> bool:
-        """Tell whether the older process holds an open command of this id."""
+        """Tell whether the other process holds an open command of this id."""
         return bool(self._identities) and mark(identity) in self._identities
 
     # The older process
@@ -197,18 +197,21 @@
         """Pass a connection on; False if it did not go, and is still ours."""
         return self._younger is not None and self._younger.send(standing, descriptors)
 
+    # Both
+
     def identity(self, identity: bytes, on: bool) -> None:
         """Tell that a command has come or is over."""
-        if self._younger is not None:
-            self._younger.send(Identity(mark(identity), on))
-
-    # Both
+        if self._older is not None or self._younger is not None:
+            self._send(Identity(mark(identity), on))
 
     def tell(self, data: bytes) -> None:
         """Pass a message on to the other process's decision module."""
+        self._send(Heard(data))
+
+    def _send(self, message: Message) -> None:
         for channel in (self._older, self._younger):
             if channel is not None:
-                channel.send(Heard(data))
+                channel.send(message)
 
     def take(self, channel: _Channel, message: Message, descriptors: list[int]) -> None:
         """Take a message of the other process."""
@@ -218,8 +221,9 @@
             return
         for descriptor in descriptors:
             os.close(descriptor)
+        known = channel in (self._older, self._younger)
         match message:
-            case Heard(data=data):
+            case Heard(data=data) if known:
                 self._office.on_heard(data)
             case Hello(v=version) if version == VERSION and channel is not self._older:
                 self._younger = channel
@@ -228,9 +232,9 @@
                 self._identities.update(message.identities[:IDENTITIES_MOST])
                 self._office.on_known(message)
                 self._start()
-            case Identity(on=True) if channel is self._older and len(self._identities) < IDENTITIES_MOST:
+            case Identity(on=True) if known and len(self._identities) < IDENTITIES_MOST:
                 self._identities.add(message.mark)
-            case Identity() if channel is self._older:
+            case Identity() if known:
                 self._identities.discard(message.mark)
             case _:
                 channel.close("another version")
@@ -239,9 +243,10 @@
         """Go on alone."""
         if why:
             self._notices.tell("the other process of the upgrade", why)
+        if channel in (self._older, self._younger):
+            self._identities.clear()
         if channel is self._older:
             self._older = None
-            self._identities.clear()
             self._start()
         elif channel is self._younger:
             self._younger = None
--- a/larchhaven/net/management.py
+++ b/larchhaven/net/management.py
@@ -9,7 +9,7 @@
 
 import httptools
 
-from larchhaven.net.buffers import Pool, Stream
+from larchhaven.net.buffers import SHORT_OF, Pool, Stream
 from larchhaven.net.loop import READ, Deadline, Loop
 
 # Callers held at a time; with one more, one that has its answer gives way, or the oldest incomplete one.
@@ -17,6 +17,8 @@
 # Descriptors that calls may take: the callers, one just accepted, and the listener.
 DESCRIPTORS = CALLERS_MOST + 2
 ACCEPTS_A_TURN = 32
+# Accepting rests for so long when the process is out of descriptors after all.
+SHORT_REST_US = 100_000
 BACKLOG = 128
 # A call must be whole within this time and this size, its body, which means nothing, included.
 CALL_US = 10_000_000
@@ -138,7 +140,7 @@
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
         self._sock.bind(address)
         self._sock.listen(BACKLOG)
-        loop.add(self._sock, READ, self._on_ready)
+        self._channel = loop.add(self._sock, READ, self._on_ready)
 
     @property
     def address(self) -> tuple[str, int]:
@@ -187,8 +189,14 @@
         for _turn in range(ACCEPTS_A_TURN):
             try:
                 sock, _address = self._sock.accept()
-            except OSError:
-                return  # nobody is left, or nothing to take them with: the next turn tries again
+            except BlockingIOError:
+                return
+            except OSError as error:
+                if error.errno in SHORT_OF:
+                    self.loop.set_events(self._channel, 0)
+                    self.loop.after(SHORT_REST_US, lambda: self.loop.set_events(self._channel, READ))
+                    return
+                continue  # that caller has gone again
             for gone in [c for c in self._callers if c.stream.closed]:
                 self.forget(gone)
             if len(self._callers) >= CALLERS_MOST:
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -254,7 +254,8 @@
     def _look_at_suspensions(self) -> None:
         """Heed what the other process of an upgrade was told."""
         self._suspensions.refresh()
-        self._loop.after(SUSPENSIONS_US, self._look_at_suspensions)
+        if self._config.socket_fd is not None:
+            self._loop.after(SUSPENSIONS_US, self._look_at_suspensions)
 
     def drain(self, on: bool) -> None:
         """Send clients away, or take them again; where packets pass through, what stands stays."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -6,13 +6,15 @@
 import signal
 import socket
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import msgspec
 import pytest
 
-from larchhaven.net.handover import Hello
+from larchhaven.net.handover import VERSION, Handover, Hello, Known, Standing
+from larchhaven.net.loop import Loop
+from larchhaven.net.notices import Notices
 from tests.rig import PATIENCE, Proxy, opening
 
 PLAIN = "c=chat,d=2000,g=ab"
@@ -182,3 +184,45 @@
     assert ends[1].line() == "still there"
     assert pending(younger) == 1
     finish(younger)
+
+
+class Side:
+    """One process's end of a handover."""
+
+    def __init__(self, loop: Loop, folder: Path) -> None:
+        self.heard: list[bytes] = []
+        self.ready = False
+        self.handover = Handover(loop, Notices(loop), str(folder), self)
+        self.handover.begin(lambda: setattr(self, "ready", True))
+
+    def known(self) -> Known:
+        return Known(VERSION, [], [])
+
+    def on_known(self, known: Known) -> None:
+        self.heard.append(b"known")
+
+    def on_heard(self, data: bytes) -> None:
+        self.heard.append(data)
+
+    def on_standing(self, standing: Standing, descriptors: Sequence[int]) -> None:
+        raise AssertionError("nothing stands")
+
+
+def test_open_ids_and_messages_go_both_ways_until_one_side_ends(tmp_path: Path) -> None:
+    """Guards one execution per command while two processes take clients side by side."""
+    loop = Loop()
+    older, younger = Side(loop, tmp_path), Side(loop, tmp_path)
+    assert older.ready and not younger.ready
+    loop.turn()
+    loop.turn()
+    loop.turn()
+    assert younger.ready and younger.heard == [b"known"]
+    for one, other in ((older, younger), (younger, older)):
+        one.handover.identity(b"id", True)
+        one.handover.tell(b"said")
+        loop.turn()
+        assert other.handover.is_open_elsewhere(b"id") and other.heard[-1] == b"said"
+        assert not other.handover.is_open_elsewhere(b"another")
+        one.handover.identity(b"id", False)
+        loop.turn()
+        assert not other.handover.is_open_elsewhere(b"id")
