Account for memory by purpose, with a cap, a gauge and refusals for each

Need: only buffers had a cap, nothing told where memory went, and at full descriptors newcomers waited in the backlog without an answer. Now connections, tables, buffers, probes, peers, management, log, files and kernel buffers each have a cap planned from the grant less the measured start size. Newcomers beyond it are answered BUSY at once, the class worth most last; silent, parting and unread clients give way first. GET /v1/memory tells all of it, with the growth that no purpose explains.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -84,7 +84,6 @@
 TAG, MARK, TOLD_MOST = 4, 2, 42
 # A mid-flow connection that nobody here knows waits so long for another instance to tell where it stands.
 ASK_US = 100_000
-HOLDERS_MOST = 10_000  # connections remembered, the latest told
 # A failed subscription is asked for again after this part of ask_within, doubling up to the whole.
 ASK_SHARE = 0.1
 
@@ -637,7 +636,7 @@
     def _remember(self, tag: bytes, mark: bytes) -> None:
         self.holders.pop(tag, None)
         self.holders[tag] = mark
-        if len(self.holders) > HOLDERS_MOST:
+        if len(self.holders) > self.settings.holders_most:
             del self.holders[next(iter(self.holders))]
 
     def _tell_held(self, peer: int, tags: Sequence[bytes]) -> None:
--- a/larchhaven/interface.py
+++ b/larchhaven/interface.py
@@ -138,6 +138,7 @@
     shared_groups: bool = False
     has_hint: bool = False
     worth_by_work: bool = False
+    holders_most: int = 10_000  # connections whose server is remembered, the latest told
     weights: Weights = Weights.NOMINAL
     report_fields: tuple[str, ...] = ()
     prices: Prices = Prices()
--- /dev/null
+++ b/larchhaven/memory/admission.py
@@ -0,0 +1,73 @@
+"""Who is let in when room gets short: newcomers by the worth of their class, and who gives way before that.
+
+Room is whatever a connection needs that is counted: bytes of *connections* and *tables*, descriptors. Each
+has a reserve, the last part of it, that only the class worth most may use.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum, auto
+
+# The part of each kind of room that is kept for the class worth most.
+RESERVE_SHARE = 0.08
+# A client that has taken nothing of what was sent for so long may give way to others.
+UNREAD_US = 5_000_000
+
+
+class Giver(Enum):
+    """Who gives way, in this order."""
+
+    SILENT = auto()  # connected and brought no first line
+    PARTING = auto()  # has its answer and does not leave
+    UNREAD = auto()  # stands, and does not read
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """One kind of room: how much there is, what is used, what one more needs. Bytes, or descriptors."""
+
+    whole: int
+    used: int
+    each: int
+
+    def fits(self, reserve_too: bool) -> bool:
+        """Tell whether one more fits; ``reserve_too`` if it may use the reserve."""
+        whole = self.whole if reserve_too else self.whole - int(self.whole * RESERVE_SHARE)
+        return self.used + self.each <= whole
+
+
+class Admission:
+    """Whether a newcomer of a class is let in."""
+
+    def __init__(self, worths: Sequence[float]) -> None:
+        self._best = max(worths, default=0.0)
+        self._worths = list(worths)
+
+    def may_take(self, cls: int, rooms: Sequence[Room]) -> int | None:
+        """Return None if a command of this class is let in, else the number of the room that is short."""
+        worthy = 0 <= cls < len(self._worths) and self._worths[cls] >= self._best
+        for number, room in enumerate(rooms):
+            if not room.fits(worthy):
+                return number
+        return None
+
+
+def gives_way(
+    silent: int, silent_most: int, parting: int, unread_since: int | None, now: int, short: bool
+) -> Giver | None:
+    """Tell who is to give way now, if anybody.
+
+    ``silent`` and ``parting`` count such clients, ``unread_since`` is since when the one unread longest has
+    not read. Too many silent ones give way even if nothing is short: they bring nothing.
+    """
+    if silent > silent_most:
+        return Giver.SILENT
+    if not short:
+        return None
+    if parting:
+        return Giver.PARTING
+    if unread_since is not None and now >= unread_since + UNREAD_US:
+        return Giver.UNREAD
+    return Giver.SILENT if silent else None
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -8,11 +8,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from larchhaven import interface as api
 from larchhaven.choice import Balancer
+from larchhaven.memory.account import Account
+from larchhaven.memory.purposes import COMMAND, Purpose
 from larchhaven.net.figures import Figures, Outcomes
 from larchhaven.net.loop import Deadline, Loop
 from larchhaven.net.notices import Notices
@@ -100,7 +102,8 @@
     """A command, and the session it becomes."""
 
     __slots__ = (
-        "attempt", "begun_at", "client", "execution", "host", "limit", "load", "session", "until", "wants",
+        "attempt", "begun_at", "charged", "client", "execution", "host", "limit", "load", "session", "until",
+        "wants",
     )  # fmt: skip
 
     def __init__(self, client: Client | None, wants: Wants, until: int) -> None:
@@ -114,13 +117,20 @@
         self.begun_at = 0
         self.execution: Execution | None = None
         self.session: Session | None = None
+        self.charged = COMMAND + len(wants.payload) + len(wants.identity)
 
 
 class Broker:
     """Holds the commands and runs the decision module."""
 
     def __init__(
-        self, loop: Loop, notices: Notices, settings: api.Settings, seed: int, figures: Figures
+        self,
+        loop: Loop,
+        notices: Notices,
+        settings: api.Settings,
+        seed: int,
+        figures: Figures,
+        account: Account | None = None,
     ) -> None:
         self._loop = loop
         self._notices = notices
@@ -129,6 +139,7 @@
         self._events: list[api.Event] = []
         self._figures = figures
         self._outcomes = figures.outcomes()
+        self._account = account or Account.unbounded()
         self.arrived_at = loop.now  # when the last command came
         self._commands: Slots[Command] = Slots()
         self._identities: dict[bytes, int] = {}  # of the open commands
@@ -168,6 +179,14 @@
             self._suspended.pop(host, None)
         self.queue(api.Suspended(host, on))
 
+    def forget(self, host: str) -> None:
+        """Forget what was noted of an instance that is gone."""
+        self._notes.pop(host, None)
+
+    def holders(self) -> int:
+        """Count the connections whose holder is remembered."""
+        return len(self._balancer.holders)
+
     # Events
 
     def queue(self, event: api.Event) -> None:
@@ -204,9 +223,7 @@
         if wait is None:
             wait = self._settings.classes[wants.cls].deadline_us
         command = Command(client, wants, self._loop.now + wait)
-        token = self._commands.add(command)
-        self._figures.pending += 1
-        self._identify(token, command)
+        token = self._add(command)
         # Should the decision module ever miss the deadline, the client gets its answer all the same.
         command.limit = self._loop.after(wait + self._settings.answer_slack_us, lambda: self._overdue(token))
         self.queue(
@@ -225,6 +242,18 @@
         )
         return token
 
+    def turn_away(self, client: Client, wants: Wants) -> None:
+        """Refuse, and count, a command that there is no room to take over; the client hears at once."""
+        self._outcomes[wants.cls].rejected += 1
+        client.refuse(self._settings.max_retry_after_us)
+
+    def _add(self, command: Command) -> int:
+        token = self._commands.add(command)
+        self._account.must(Purpose.TABLES, command.charged)
+        self._figures.pending += 1
+        self._identify(token, command)
+        return token
+
     def client_left(self, token: int) -> None:
         """Take it that the client of a command that is not served yet has gone."""
         command = self._commands.get(token)
@@ -253,6 +282,7 @@
         command = self._commands.remove(token)
         if command is not None:
             self._figures.pending -= 1
+            self._account.give(Purpose.TABLES, command.charged)
         if command is not None and self._identities.get(command.wants.identity) == token:
             del self._identities[command.wants.identity]
             self.outside.identity(command.wants.identity, False)
@@ -286,6 +316,10 @@
         execution, command.execution = command.execution, None
         self._loop.cancel(command.limit)
         self._outcomes[command.wants.cls].completed += 1
+        # A first line may be 4 KiB long, and a connection may stand for hours.
+        self._account.give(Purpose.TABLES, len(command.wants.payload))
+        command.charged -= len(command.wants.payload)
+        command.wants = replace(command.wants, payload=b"")
         command.session = client.serve(execution, token)
 
     def execution_over(self, token: int, result: api.Result, report: api.Report | None) -> None:
@@ -358,9 +392,7 @@
         """Go on with a connection that another process held."""
         command = Command(None, wants, self._loop.now)
         command.attempt, command.host, command.begun_at = 0, host, self._loop.now
-        token = self._commands.add(command)
-        self._figures.pending += 1
-        self._identify(token, command)
+        token = self._add(command)
         arrival = api.Arrival(token, wants.cls, 0, key=wants.key, load=wants.load, group=wants.group)
         self.queue(api.Resumed(arrival, host))
         command.session = join(token)
--- a/larchhaven/net/buffers.py
+++ b/larchhaven/net/buffers.py
@@ -9,6 +9,8 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from larchhaven.memory.account import Account
+from larchhaven.memory.purposes import BUFFER_EXTRA, STREAM, Purpose
 from larchhaven.net.loop import READ, WRITE, Deadline, Loop
 
 # Room for a line of the greatest length and the beginning of the next.
@@ -19,6 +21,9 @@
 LINGER_MOST_US = 5_000_000
 # Input that is thrown away goes to one block that all streams share.
 DROP_SIZE = 1 << 16
+# So many buffers that came back are kept for the next; the others go back to the allocator.
+SPARE_MOST = 32
+_EACH = SIZE + BUFFER_EXTRA
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # Conditions of the whole process, not of the connection: no descriptors or no memory left for one more.
 SHORT_OF = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -52,35 +57,55 @@
 
 
 class Pool:
-    """Buffers that are used again; when all are out, those in want of one wait."""
-
-    def __init__(self, most: int) -> None:
+    """Buffers that are used again; when the account grants no more, those in want of one wait.
+
+    A pool also charges the streams that work with it; ``bound`` is for SO_SNDBUF and SO_RCVBUF of their
+    sockets, in bytes, and 0 leaves them to the system.
+    """
+
+    def __init__(
+        self,
+        account: Account | None = None,
+        streams: Purpose = Purpose.CONNECTIONS,
+        buffers: Purpose = Purpose.BUFFERS,
+        bound: int = 0,
+    ) -> None:
+        self.account = account or Account.unbounded()
+        self.streams = streams
+        self.bound = bound
+        self._buffers = buffers
         self._free: list[Buffer] = []
-        self._left = most
         self._waiting: list[Callable[[], None]] = []
-        self.drain = memoryview(bytearray(DROP_SIZE))  # what is written here is never read
         # Streams that have said their last and only wait for the other side, the oldest first: when
         # descriptors are short these can be spared best.
         self.parting: dict[Stream, None] = {}
+        # Streams of clients that have not read what was sent, and since when, the longest first.
+        self.unread: dict[Stream, int] = {}
 
     def take(self) -> Buffer | None:
         """Return an empty buffer, or None when all are out."""
         if self._free:
             return self._free.pop()
-        if not self._left:
-            return None
-        self._left -= 1
-        return Buffer()
+        return Buffer() if self.account.take(self._buffers, _EACH) else None
 
     def give(self, buffer: Buffer) -> None:
         """Take a buffer back and wake all that wait: one of them may have been closed since."""
         buffer.start = buffer.end = 0
-        self._free.append(buffer)
+        # After a reload that lowered the cap, buffers go until the rest is under it.
+        if len(self._free) < SPARE_MOST and self.account.room(self._buffers) >= 0:
+            self._free.append(buffer)
+        else:
+            self.account.give(self._buffers, _EACH)
         if self._waiting:
             waiting, self._waiting = self._waiting, []
             for then in waiting:
                 then()
 
+    def shrink(self) -> None:
+        """Let go of the buffers kept for the next."""
+        self.account.give(self._buffers, _EACH * len(self._free))
+        self._free.clear()
+
     def wait(self, then: Callable[[], None]) -> None:
         """Call ``then`` when a buffer has come back."""
         self._waiting.append(then)
@@ -105,14 +130,26 @@
         """Note that the connection is lost, or never came up; the stream is closed already."""
 
 
+# Streams throw their input away here; what is written is never read.
+_DRAIN = memoryview(bytearray(DROP_SIZE))
+
+
 class Stream:
     """A TCP connection with at most one buffer each way."""
 
+    __slots__ = (
+        "__weakref__", "_channel", "_connecting", "_deaf", "_ending", "_finished_at", "_heard_at", "_linger",
+        "_loop", "_outbox", "_pool", "_reading", "_sock", "closed", "ended", "inbox", "owner", "yielding",
+    )  # fmt: skip
+
     owner: Owner  # set by whoever takes the stream over, if not at once
 
     def __init__(self, loop: Loop, pool: Pool, sock: socket.socket, owner: Owner | None = None) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if pool.bound:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, pool.bound)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, pool.bound)
         self._loop = loop
         self._pool = pool
         self._sock = sock
@@ -127,8 +164,11 @@
         self.ended = False  # the other side sends no more
         self.closed = False
         self._linger: Deadline | None = None
+        # What ends the connection for others' sake while its other side does not read; None: not spared.
+        self.yielding: Callable[[], None] | None = None
         self._finished_at = self._heard_at = 0
         self._channel = loop.add(sock, READ, self._on_ready)
+        pool.account.must(pool.streams, STREAM)
 
     @classmethod
     def connect(cls, loop: Loop, pool: Pool, address: tuple[str, int], owner: Owner) -> Stream:
@@ -148,6 +188,10 @@
         """The system's number of the connection."""
         return self._sock.fileno()
 
+    def kernel_bytes(self) -> int:
+        """Count the bytes that the system holds for this connection, both ways."""
+        return self._loop.kernel_bytes(self._channel)
+
     def outbox(self) -> bytes:
         """Return what was written and is not sent yet."""
         return bytes(self._outbox.held()) if self._outbox is not None else b""
@@ -220,7 +264,7 @@
     def _drop(self) -> None:
         """Throw away what comes; a client may send many megabytes before it reads its answer."""
         try:
-            count = self._sock.recv_into(self._pool.drain)
+            count = self._sock.recv_into(_DRAIN)
         except (BlockingIOError, InterruptedError):
             return
         except OSError as error:
@@ -270,6 +314,8 @@
                 room[:more] = data[taken : taken + more]
                 self._outbox.end += more
                 taken += more
+                if self.yielding is not None:
+                    self._pool.unread.setdefault(self, self._loop.now)
                 self._watch()
             else:
                 self._pool.wait(self._tell_room)
@@ -282,12 +328,15 @@
     def _flush(self) -> None:
         if self._outbox is not None:
             try:
-                self._outbox.start += self._sock.send(self._outbox.held())
+                sent = self._sock.send(self._outbox.held())
+                self._outbox.start += sent
             except (BlockingIOError, InterruptedError):
                 return
             except OSError as error:
                 self._break(error.errno or errno.EPIPE)
                 return
+            if self._pool.unread.pop(self, None) is not None and sent and len(self._outbox):
+                self._pool.unread[self] = self._loop.now  # slow, but it reads
             if len(self._outbox):
                 return
             outbox, self._outbox = self._outbox, None
@@ -315,6 +364,8 @@
         """
         if self.closed:
             return
+        self._pool.unread.pop(self, None)
+        self.yielding = None
         self.end()
         if self.ended and not self.pending:
             self.close()
@@ -342,6 +393,8 @@
         self.closed = True
         self._loop.cancel(self._linger)
         self._pool.parting.pop(self, None)
+        self._pool.unread.pop(self, None)
+        self._pool.account.give(self._pool.streams, STREAM)
         self._loop.remove(self._channel)
         if reset:
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
@@ -351,6 +404,13 @@
                 self._pool.give(buffer)
         self.inbox = self._outbox = None
 
+    def close_unread(self) -> None:
+        """End a connection whose other side does not read, so that others have its room."""
+        yielding, self.yielding = self.yielding, None
+        if yielding is not None:
+            yielding()
+        self.close(reset=True)
+
     def _shut(self) -> None:
         with contextlib.suppress(OSError):  # broken already: the next read tells
             self._sock.shutdown(socket.SHUT_WR)
--- a/larchhaven/net/clients.py
+++ b/larchhaven/net/clients.py
@@ -6,13 +6,15 @@
 import socket
 from collections.abc import Mapping
 
+from larchhaven.memory.admission import Giver, gives_way
 from larchhaven.net import lines
-from larchhaven.net.broker import Broker, Execution
+from larchhaven.net.broker import Broker, Execution, Wants
 from larchhaven.net.buffers import SHORT_OF, Pool, Stream
 from larchhaven.net.executions import TextExecution
 from larchhaven.net.loop import READ, Deadline, Loop
 from larchhaven.net.notices import Notices
 from larchhaven.net.relay import Relay
+from larchhaven.net.rooms import Rooms
 
 BACKLOG = 1024
 ACCEPTS_A_TURN = 64
@@ -67,7 +69,10 @@
             self._loop.cancel(self._limit)
             self._limit = None
             self._listener.count_out(self)
-            self._token = self._listener.broker.take_command(self, wants)
+            if self._listener.admits(wants):
+                self._token = self._listener.broker.take_command(self, wants)
+            else:
+                self._listener.broker.turn_away(self, wants)
 
     def on_end(self) -> None:
         """Take it that the client has left: it would hold its side open while it waits."""
@@ -131,6 +136,7 @@
         address: tuple[str, int],
         classes: Mapping[str, int],
         descriptors: int,
+        rooms: Rooms,
         inherited: int | None = None,
     ) -> None:
         self.loop = loop
@@ -139,7 +145,7 @@
         self.notices = notices
         self.classes = classes
         self.away = False  # clients are sent away; those that come all the same are served
-        self._most = max(descriptors - SPARE_DESCRIPTORS, descriptors // 2)
+        self._rooms = rooms
         self._silent_most = max(int(SILENT_SHARE * descriptors), 1)
         # Those that have not brought a first line yet, the oldest first.
         self._silent: dict[ServiceClient, None] = {}
@@ -182,8 +188,8 @@
 
     def _on_ready(self, _: int) -> None:
         for _turn in range(ACCEPTS_A_TURN):
-            if self._short() and not self._silent and not self.pool.parting:
-                self._pause("all descriptors are in use")
+            if self._short() and self._giver() is None:
+                self._pause("all descriptors or all memory for connections are in use")
                 return
             try:
                 sock, _address = self._sock.accept()
@@ -201,20 +207,36 @@
             self._make_room()
 
     def _short(self) -> bool:
-        """Tell whether no descriptor is left but one for the execution of each client yet to speak."""
-        return self.loop.sockets() + len(self._silent) >= self._most
+        """Tell whether no room is left but that for the execution of each client yet to speak."""
+        return self._rooms.short(len(self._silent))
+
+    def admits(self, wants: Wants) -> bool:
+        """Tell whether there is room for this command."""
+        standing = wants.midflow or wants.at is not None
+        size = len(wants.payload) + len(wants.identity)
+        sparable = len(self._silent) + len(self.pool.parting)
+        return self._rooms.admits(wants.cls, size, sparable, standing)
+
+    def _giver(self) -> Giver | None:
+        unread = next(iter(self.pool.unread.values()), None)
+        return gives_way(
+            len(self._silent), self._silent_most, len(self.pool.parting), unread, self.loop.now, self._short()
+        )
 
     def _make_room(self) -> None:
-        """Let the oldest of those that are silent, or have their answer and do not leave, give way.
+        """Let the oldest of those that are silent, do not leave, or do not read, give way.
 
         A usual client speaks as soon as it is connected. Waiting until the silent ones had gone by themselves
         kept usual clients out for ten seconds and more; now only commands make newcomers wait.
         """
-        while len(self._silent) > self._silent_most or (self._silent and self._short()):
-            if len(self._silent) <= self._silent_most and self.pool.parting:
-                next(iter(self.pool.parting)).close()
-            else:
-                next(iter(self._silent)).give_way()
+        while (giver := self._giver()) is not None:
+            match giver:
+                case Giver.PARTING:
+                    next(iter(self.pool.parting)).close()
+                case Giver.UNREAD:
+                    next(iter(self.pool.unread)).close_unread()
+                case Giver.SILENT:
+                    next(iter(self._silent)).give_way()
 
     def _pause(self, why: str) -> None:
         self.notices.tell("accepting rests", why)
--- a/larchhaven/net/discovery.py
+++ b/larchhaven/net/discovery.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from larchhaven import interface as api
+from larchhaven.memory.purposes import Purpose
 from larchhaven.net.buffers import Pool, Stream
 from larchhaven.net.loop import Deadline, Loop, unix_offset_us
 from larchhaven.net.notices import Notices
@@ -19,9 +20,10 @@
 # without news that does not wait would otherwise be asked for in a tight loop. The limit is 200 ms.
 CALL_GAP_US = 50_000
 BODY_MOST = 4 << 20
+BODY_SHARE = 0.25  # of the memory for management, if that is less
 # An instance that is gone is remembered as such for this long; nothing sent to it can be under way then.
 FORGET_US = 60_000_000
-# So many hosts are remembered as listed once.
+# So many hosts are remembered as listed once, at most.
 LISTED_MOST = 10_000
 
 _STATES = {"ready": api.State.READY, "draining": api.State.DRAINING, "gone": api.State.GONE}
@@ -59,7 +61,8 @@
 class Directory:
     """What discovery has told: the addresses, by host, and since when each instance is to be left alone."""
 
-    def __init__(self, zones: Sequence[str], kinds: Sequence[str]) -> None:
+    def __init__(self, zones: Sequence[str], kinds: Sequence[str], listed_most: int = LISTED_MOST) -> None:
+        self._listed_most = listed_most
         self._zones = {name: i for i, name in enumerate(zones)}
         self._kinds = {name: i for i, name in enumerate(kinds)}
         self._addresses: dict[str, tuple[str, int]] = {}
@@ -80,6 +83,10 @@
         """Count the instances on the list."""
         return len(self._addresses)
 
+    def listed(self) -> int:
+        """Count the instances that are remembered as listed once."""
+        return len(self._listed)
+
     def was_listed(self, host: str) -> bool:
         """Tell whether the instance is on the list, or was."""
         return host in self._listed
@@ -101,7 +108,7 @@
         state = _STATES.get(entry.health, api.State.DRAINING)
         self._listed.pop(entry.host, None)
         self._listed[entry.host] = None
-        if len(self._listed) > LISTED_MOST:
+        if len(self._listed) > self._listed_most:
             del self._listed[next(iter(self._listed))]
         address = read_address(entry.dial)
         if address is not None:
@@ -149,6 +156,7 @@
         self._stream: Stream | None = None
         self._parser: httptools.HttpResponseParser | None = None
         self._body = bytearray()
+        self._long = False  # the answer does not fit
         self._watching = False
         self._whole = False  # the next call asks for the whole list
         self._strange = False  # this address has not told a list yet: the version held is another's
@@ -203,7 +211,7 @@
 
     def _ask(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._body.clear()
+        self._drop_body()
         self._done = False
         query = "" if self._whole else f"?from={self._seq}&hold_ms={HOLD_MS}"
         host, port = self._address
@@ -215,6 +223,7 @@
         self._loop.cancel(self._limit)
         self._calling = False
         self._open = False
+        self._drop_body()
         if self._stream is not None:
             self._stream.close()
             self._stream = None
@@ -235,10 +244,11 @@
             self._fail(f"status {status}")
             return
         try:
-            told = msgspec.json.decode(bytes(self._body), type=HostList)
+            told = msgspec.json.decode(self._body, type=HostList)
         except (msgspec.DecodeError, UnicodeDecodeError) as error:
             self._fail(str(error))
             return
+        self._drop_body()
         told.whole = told.whole or self._whole
         self._loop.cancel(self._limit)
         self._calling = self._whole = self._strange = False
@@ -256,8 +266,20 @@
     # The parser's callbacks
 
     def on_body(self, body: bytes) -> None:
-        """Keep a part of the answer."""
-        self._body += body
+        """Keep a part of the answer, as far as there is room for it."""
+        account = self._pool.account
+        most = min(BODY_MOST, int(BODY_SHARE * account.cap(Purpose.MANAGEMENT)))
+        if len(self._body) + len(body) > most:
+            self._long = True
+        elif not self._long and account.take(Purpose.MANAGEMENT, len(body)):
+            self._body += body
+        else:
+            self._long = True
+
+    def _drop_body(self) -> None:
+        self._pool.account.give(Purpose.MANAGEMENT, len(self._body))
+        self._body = bytearray()  # a new one: an emptied one may keep its size
+        self._long = False
 
     def on_message_complete(self) -> None:
         """Note that the answer is whole."""
@@ -291,7 +313,7 @@
         except httptools.HttpParserError as error:
             self._fail(f"bad HTTP: {error}")
             return
-        if len(self._body) > BODY_MOST:
+        if self._long:
             self._fail("the answer is too long")
         elif self._done:
             self._answer()
--- a/larchhaven/net/handover.py
+++ b/larchhaven/net/handover.py
@@ -18,6 +18,8 @@
 import msgspec
 
 from larchhaven import interface as api
+from larchhaven.memory.account import Account
+from larchhaven.memory.purposes import IDENTITY, Purpose
 from larchhaven.net.loop import READ, Deadline, Loop
 from larchhaven.net.notices import Notices
 from larchhaven.net.relay import RelayState
@@ -149,7 +151,10 @@
 class Handover:
     """The two channels that a process may have: to an older one, and to a younger one."""
 
-    def __init__(self, loop: Loop, notices: Notices, folder: str, office: Office) -> None:
+    def __init__(
+        self, loop: Loop, notices: Notices, folder: str, office: Office, account: Account | None = None
+    ) -> None:
+        self._account = account or Account.unbounded()
         self.loop = loop
         self._notices = notices
         self._folder = folder
@@ -216,7 +221,7 @@
     def take(self, channel: _Channel, message: Message, descriptors: list[int]) -> None:
         """Take a message of the other process."""
         if isinstance(message, Standing) and len(descriptors) == 2 and channel is self._older:
-            self._identities.discard(mark(message.identity))
+            self._drop(mark(message.identity))
             self._office.on_standing(message, descriptors)
             return
         for descriptor in descriptors:
@@ -229,21 +234,34 @@
                 self._younger = channel
                 channel.send(self._office.known())
             case Known(v=version) if version == VERSION and channel is self._older:
-                self._identities.update(message.identities[:IDENTITIES_MOST])
+                for each in message.identities:
+                    self._add(each)
                 self._office.on_known(message)
                 self._start()
-            case Identity(on=True) if known and len(self._identities) < IDENTITIES_MOST:
-                self._identities.add(message.mark)
+            case Identity(on=True) if known:
+                self._add(message.mark)
             case Identity() if known:
-                self._identities.discard(message.mark)
+                self._drop(message.mark)
             case _:
                 channel.close("another version")
 
+    def _add(self, identity: bytes) -> None:
+        """Keep the mark of an id, as far as there is room: without it a doubled id costs a set-up."""
+        new = identity not in self._identities and len(self._identities) < IDENTITIES_MOST
+        if new and self._account.take(Purpose.PEERS, IDENTITY):
+            self._identities.add(identity)
+
+    def _drop(self, identity: bytes) -> None:
+        if identity in self._identities:
+            self._identities.remove(identity)
+            self._account.give(Purpose.PEERS, IDENTITY)
+
     def over(self, channel: _Channel, why: str) -> None:
         """Go on alone."""
         if why:
             self._notices.tell("the other process of the upgrade", why)
         if channel in (self._older, self._younger):
+            self._account.give(Purpose.PEERS, IDENTITY * len(self._identities))
             self._identities.clear()
         if channel is self._older:
             self._older = None
--- a/larchhaven/net/loop.py
+++ b/larchhaven/net/loop.py
@@ -7,6 +7,7 @@
 import selectors
 import signal
 import socket
+import struct
 import time
 from collections.abc import Callable
 
@@ -18,6 +19,9 @@
 WRITE = selectors.EVENT_WRITE
 # Cancelled deadlines are dropped when they come due; with more of them than this and than live ones, at once.
 _DEAD_MOST = 1_000
+# getsockopt's SO_MEMINFO and its fields: rmem_alloc, rcvbuf, wmem_alloc, sndbuf, fwd_alloc, wmem_queued, ...
+_SO_MEMINFO = 55
+_MEMINFO = struct.Struct("9I")
 # Unexpected errors are written out at most once in this time.
 _QUIET_US = 1_000_000
 
@@ -43,6 +47,15 @@
         self.events = 0
 
 
+def _held(sock: socket.socket) -> int:
+    """Read the kernel's SK_MEMINFO: memory of received bytes, and of bytes queued to be sent."""
+    try:
+        info = _MEMINFO.unpack(sock.getsockopt(socket.SOL_SOCKET, _SO_MEMINFO, _MEMINFO.size))
+    except (OSError, struct.error):
+        return 0  # not a socket of that kind, or a system without it
+    return int(info[0]) + int(info[5])
+
+
 def unix_offset_us() -> int:
     """Microseconds from the loop's clock to Unix time: the one place where the two clocks meet."""
     return time.time_ns() // 1000 - time.monotonic_ns() // 1000
@@ -94,6 +107,17 @@
         self.set_events(token, 0)
         self._channels.remove(token)
 
+    def kernel_bytes(self, token: int | None = None) -> int:
+        """Count the bytes that the system holds for one socket, or for all: unread, or not sent yet."""
+        channel = None if token is None else self._channels.get(token)
+        if channel is not None:
+            return _held(channel.sock)
+        return sum(_held(each.sock) for _, each in self._channels.items()) if token is None else 0
+
+    def deadlines(self) -> int:
+        """Count the deadlines kept, cancelled ones that have not been dropped yet included."""
+        return len(self._heap)
+
     # Time
 
     def after(self, delay_us: int, then: Callable[[], None]) -> Deadline:
--- a/larchhaven/net/management.py
+++ b/larchhaven/net/management.py
@@ -9,6 +9,7 @@
 
 import httptools
 
+from larchhaven.memory.purposes import Purpose
 from larchhaven.net.buffers import SHORT_OF, Pool, Stream
 from larchhaven.net.loop import READ, Deadline, Loop
 
@@ -36,6 +37,9 @@
     def figures(self) -> bytes:
         """Return the figures as JSON."""
 
+    def memory(self) -> bytes:
+        """Return the memory account as JSON."""
+
     def suspend(self, host: str, on: bool) -> HTTPStatus:
         """Take an instance out, or let it serve again."""
 
@@ -129,9 +133,12 @@
 class Management:
     """Accepts callers and knows the calls; what they do is up to the office."""
 
-    def __init__(self, loop: Loop, address: tuple[str, int], office: Office, shared: bool) -> None:
+    def __init__(
+        self, loop: Loop, address: tuple[str, int], office: Office, shared: bool, pool: Pool | None = None
+    ) -> None:
         self.loop = loop
-        self.pool = Pool(2 * CALLERS_MOST + 2)  # its own: clients that fill theirs keep no operator waiting
+        # Its own: clients that fill theirs keep no operator waiting.
+        self.pool = pool or Pool(streams=Purpose.MANAGEMENT, buffers=Purpose.MANAGEMENT)
         self._office = office
         self._callers: dict[_Caller, None] = {}  # the oldest first
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
@@ -157,7 +164,7 @@
         match path.decode("utf-8", "replace").split("/"):
             case ["", "v1", "readyz"]:
                 allowed = "GET"
-            case ["", "v1", "metrics"]:
+            case ["", "v1", "metrics" | "memory"]:
                 allowed = "GET"
             case ["", "v1", "exam-servers", _, "suspend" | "resume"]:
                 allowed = "POST"
@@ -176,6 +183,8 @@
                 return HTTPStatus.OK if office.is_ready() else HTTPStatus.SERVICE_UNAVAILABLE, b""
             case ["metrics"]:
                 return HTTPStatus.OK, office.figures()
+            case ["memory"]:
+                return HTTPStatus.OK, office.memory()
             case ["exam-servers", host, what]:
                 return office.suspend(unquote(host), what == "suspend"), b""
         office.drain(words[-1] == "drain")
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -11,26 +11,34 @@
 from dataclasses import replace
 from http import HTTPStatus
 
+import msgspec
+
 from larchhaven import interface as api
 from larchhaven.choice import STARTED
+from larchhaven.memory import plan, purposes
+from larchhaven.memory.account import Account
+from larchhaven.memory.purposes import Purpose
+from larchhaven.net.accounting import Accounting, resident
 from larchhaven.net.broker import Broker, Outside, Wants
-from larchhaven.net.buffers import SIZE, Pool, Stream
-from larchhaven.net.clients import Listener
+from larchhaven.net.buffers import Pool, Stream
+from larchhaven.net.clients import SPARE_DESCRIPTORS, Listener
 from larchhaven.net.config import Config, ConfigError, load
-from larchhaven.net.discovery import Directory, Discovery, HostList
+from larchhaven.net.discovery import LISTED_MOST, Directory, Discovery, HostList
 from larchhaven.net.executions import TextExecution
 from larchhaven.net.figures import Figures
 from larchhaven.net.handover import VERSION, Handover, Known, Standing, mark
 from larchhaven.net.loop import Loop
 from larchhaven.net.management import DESCRIPTORS, Management
-from larchhaven.net.notices import Notices
+from larchhaven.net.notices import KINDS_MOST, Notices
 from larchhaven.net.peers import Peers
 from larchhaven.net.probes import Probes
 from larchhaven.net.relay import Relay
+from larchhaven.net.rooms import Rooms
 from larchhaven.net.suspensions import Suspensions
 
-# The part of the memory limit that buffers may fill.
-BUFFER_SHARE = 0.25
+# The parts of the memory for tables that what only helps may fill: it is forgotten, the oldest first.
+HOLDERS_SHARE = 0.25
+LISTED_SHARE = 0.10
 # A stop may be made final this long after it was announced.
 LEAVE_MOST_US = 3_000_000
 # Suspensions that another process was told are heeded within this time.
@@ -57,24 +65,38 @@
         self._config = config
         settings = config.settings
         self._loop = loop = Loop()
-        self._notices = notices = Notices(loop)
-        self._pool = pool = Pool(max(int(BUFFER_SHARE * config.limits.memory_mb * (1 << 20)) // SIZE, 64))
-        self._figures = Figures.of(list(config.classes))
-        self._broker = broker = Broker(loop, notices, settings, config.seed, self._figures)
-        self._directory = Directory(config.zones, config.kinds)
+        grant = int(config.limits.memory_mb * plan.MB)
+        self._plan = caps = plan.make(grant, resident(), config.limits.sockets)
+        self._account = account = Account(caps.caps)
+        self._notices = notices = Notices(loop, min(KINDS_MOST, account.cap(Purpose.LOG) // purposes.NOTICE))
+        self._pool = pool = Pool(account, bound=caps.socket_bound)
+        aside = Pool(account, Purpose.MANAGEMENT, Purpose.MANAGEMENT)
         folder = os.environ.get("TMPDIR", "")
+        self._accounting = Accounting(loop, notices, account, caps, pool, folder)
+        tables = account.cap(Purpose.TABLES)
+        settings = replace(
+            settings,
+            holders_most=min(settings.holders_most, int(HOLDERS_SHARE * tables) // purposes.HOLDER),
+        )
+        self._figures = Figures.of(list(config.classes))
+        self._broker = broker = Broker(loop, notices, settings, config.seed, self._figures, account)
+        self._directory = Directory(
+            config.zones, config.kinds, min(LISTED_MOST, int(LISTED_SHARE * tables) // purposes.HOST_ONCE)
+        )
         shared = config.socket_fd is not None  # with another process, during an upgrade
-        self._suspensions = Suspensions(folder, self._on_suspended)
+        self._suspensions = Suspensions(folder, self._on_suspended, self._accounting.files_fit)
         self._reports: dict[str, tuple[int, api.Report]] = {}  # the latest, and when it came
-        self._probes = Probes(loop, pool, settings.connect_timeout_us, self._on_probe)
-        self._directory.forget = self._probes.drop
-        self._discovery = Discovery(loop, pool, notices, config.discovery, config.known.seq, self._on_list)
+        self._probes = Probes(
+            loop, Pool(account, Purpose.PROBES, Purpose.PROBES), settings.connect_timeout_us, self._on_probe
+        )
+        self._directory.forget = self._forget
+        self._discovery = Discovery(loop, aside, notices, config.discovery, config.known.seq, self._on_list)
         self._peers: Peers | None = None
         if config.peer_listen is not None:
             self._peers = Peers(
                 loop, notices, config.peer_listen, config.peers, config.peers_all, self._on_peer, shared
             )
-        self._handover = Handover(loop, notices, folder if shared else "", self)
+        self._handover = Handover(loop, notices, folder if shared else "", self, account)
 
         def begin(token: int, first_line: bytes, address: tuple[str, int], wait_us: int) -> TextExecution:
             return TextExecution(
@@ -93,12 +115,23 @@
             is_open_elsewhere=self._handover.is_open_elsewhere,
         )
         descriptors = self._descriptors() - (DESCRIPTORS if config.mgmt is not None else 0)
+        most = max(descriptors - SPARE_DESCRIPTORS, descriptors // 2)
+        self._rooms = Rooms(loop, account, [c.worth for c in settings.classes], most)
         self._listener = Listener(
-            loop, pool, broker, notices, config.listen, config.classes, descriptors, config.socket_fd
+            loop,
+            pool,
+            broker,
+            notices,
+            config.listen,
+            config.classes,
+            descriptors,
+            self._rooms,
+            config.socket_fd,
         )
         self._management: Management | None = None
         if config.mgmt is not None:
-            self._management = Management(loop, config.mgmt, self, shared)
+            self._management = Management(loop, config.mgmt, self, shared, aside)
+        self._count_parts()
         loop.turn_end = self._end_turn
         self._stopping = False
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -121,7 +154,25 @@
         self._loop.run()
         _log.info("stopped")
 
+    def _count_parts(self) -> None:
+        """Say how what has no owner to charge it is counted."""
+        broker, directory, loop = self._broker, self._directory, self._loop
+        self._accounting.parts = {
+            (Purpose.TABLES, "deadlines"): lambda: loop.deadlines() * purposes.DEADLINE,
+            (Purpose.TABLES, "servers"): lambda: directory.members() * purposes.SERVER,
+            (Purpose.TABLES, "hosts listed"): lambda: directory.listed() * purposes.HOST_ONCE,
+            (Purpose.TABLES, "holders"): lambda: broker.holders() * purposes.HOLDER,
+            (Purpose.LOG, "notices"): lambda: self._notices.kinds() * purposes.NOTICE,
+        }
+
+    def _forget(self, host: str) -> None:
+        """Forget all but the decisions about an instance that is gone; the decision module does by itself."""
+        self._probes.drop(host)
+        self._broker.forget(host)
+        self._reports.pop(host, None)
+
     def _open(self) -> None:
+        self._accounting.begin()
         self._listener.open()
         host, port = self._listener.address
         if self._management is not None:
@@ -236,6 +287,10 @@
         self._figures.members_unavailable = self._broker.avoided()
         return self._figures.encode()
 
+    def memory(self) -> bytes:
+        """Return the memory account as JSON."""
+        return msgspec.json.encode(self._accounting.state())
+
     def suspend(self, host: str, on: bool) -> HTTPStatus:
         """Take an instance out, or let it serve again; the yes comes when it is saved and heeded."""
         if not self._directory.was_listed(host) and host not in self._suspensions:
--- a/larchhaven/net/notices.py
+++ b/larchhaven/net/notices.py
@@ -17,18 +17,23 @@
 class Notices:
     """Writes each kind of notice now and then."""
 
-    def __init__(self, loop: Loop) -> None:
+    def __init__(self, loop: Loop, kinds_most: int = KINDS_MOST) -> None:
         self._loop = loop
+        self.kinds_most = kinds_most
         # By kind: when it may be written next, and how many were held back.
         self._kinds: dict[str, tuple[int, int]] = {}
 
+    def kinds(self) -> int:
+        """Count the kinds that are remembered."""
+        return len(self._kinds)
+
     def tell(self, kind: str, detail: str) -> None:
         """Write a notice, unless one of its kind was written a moment ago."""
         until, held = self._kinds.get(kind, (0, 0))
         if self._loop.now < until:
             self._kinds[kind] = (until, held + 1)
             return
-        if len(self._kinds) >= KINDS_MOST:
+        while len(self._kinds) >= max(self.kinds_most, 1):
             del self._kinds[next(iter(self._kinds))]
         self._kinds[kind] = (self._loop.now + QUIET_US, 0)
         more = f" ({held} more like it)" if held else ""
--- a/larchhaven/net/probes.py
+++ b/larchhaven/net/probes.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from larchhaven import interface as api
+from larchhaven.memory.purposes import STREAM, Purpose
 from larchhaven.net import lines
 from larchhaven.net.buffers import SHORT_OF, Pool, Stream
 from larchhaven.net.loop import Deadline, Loop
@@ -137,6 +138,11 @@
     def probe(self, host: str, address: tuple[str, int]) -> None:
         """Ask an instance for its report; a probe under way serves."""
         asker = self._askers.get(host)
+        if asker is None and not self.pool.account.take(Purpose.PROBES, STREAM):
+            self.done(host, api.Result.NOT_SENT, 0, None)  # the decision module does without this report
+            return
+        if asker is None:
+            self.pool.account.give(Purpose.PROBES, STREAM)  # the stream charges itself
         if asker is not None and asker.address != address:
             self.drop(host)
             asker = None
--- a/larchhaven/net/relay.py
+++ b/larchhaven/net/relay.py
@@ -69,6 +69,8 @@
 class _Side:
     """One side of the relay, as the owner of its stream."""
 
+    __slots__ = ("count", "relay", "stream")
+
     def __init__(self, relay: Relay, stream: Stream) -> None:
         self.relay = relay
         self.stream = stream
@@ -112,6 +114,11 @@
 class Relay:
     """One served connection."""
 
+    __slots__ = (
+        "_asked", "_client", "_closing", "_ending", "_heard_at", "_idle", "_instance", "_look", "_loop",
+        "_moving", "_over", "_owner", "_token",
+    )  # fmt: skip
+
     def __init__(
         self,
         loop: Loop,
@@ -134,6 +141,7 @@
         self._over = False
         self._heard_at = loop.now
         self._idle = loop.after(IDLE_US, self._on_idle)
+        client.yielding = self.give_way
         if isinstance(first, bytes):
             client.write(first + lines.END)
         else:
@@ -251,6 +259,11 @@
         else:
             self._end_now(api.Result.CANCELLED)
 
+    def give_way(self) -> None:
+        """End both sides, as the client does not read what it asked for and others need the room."""
+        self._client.stream.close(reset=True)
+        self.on_side_broken(self._client)
+
     # Moves
 
     def move(self) -> None:
--- /dev/null
+++ b/larchhaven/net/rooms.py
@@ -0,0 +1,54 @@
+"""Whether there is room for one more client: bytes by purpose and descriptors, for ``memory.admission``."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from larchhaven.memory.account import Account
+from larchhaven.memory.admission import Admission, Room
+from larchhaven.memory.purposes import COMMAND, STREAM, Purpose
+from larchhaven.net.loop import Loop
+
+# Room for so many clients that only get their BUSY; no command that is let in may use it.
+TURN_AWAY = 8
+
+
+class Rooms:
+    """The kinds of room that a client needs: its execution's connection, its command, its descriptors."""
+
+    def __init__(self, loop: Loop, account: Account, worths: Sequence[float], descriptors: int) -> None:
+        self._loop = loop
+        self._account = account
+        self._admission = Admission(worths)
+        self.descriptors = descriptors  # that clients and their executions may use together
+        self.refused_descriptors = 0
+
+    def short(self, silent: int) -> bool:
+        """Tell whether no newcomer fits; each silent client may yet need an execution."""
+        if self._loop.sockets() + silent >= self.descriptors:
+            return True
+        account = self._account
+        return account.room(Purpose.CONNECTIONS) < (silent + 2) * STREAM
+
+    def admits(self, cls: int, size: int, sparable: int, standing: bool) -> bool:
+        """Tell, and count, whether a command of this class fits; its own connection is charged already.
+
+        ``size`` is its payload and id in bytes; ``sparable`` counts clients that give way. What ``standing``
+        marks has a place already, in the fleet if not here: it may use the reserve, whatever its class.
+        """
+        account = self._account
+        cap = account.cap(Purpose.CONNECTIONS)
+        rooms = (
+            Room(cap - TURN_AWAY * STREAM, account.used(Purpose.CONNECTIONS) - sparable * STREAM, STREAM),
+            Room(account.cap(Purpose.TABLES), account.used(Purpose.TABLES), COMMAND + size),
+            Room(self.descriptors - TURN_AWAY, self._loop.sockets() - sparable, 1),
+        )
+        if standing:
+            short = next((i for i, room in enumerate(rooms) if not room.fits(True)), None)
+        else:
+            short = self._admission.may_take(cls, rooms)
+        if short == 2:
+            self.refused_descriptors += 1
+        elif short is not None:
+            account.refuse((Purpose.CONNECTIONS, Purpose.TABLES)[short])
+        return short is None
--- a/larchhaven/net/suspensions.py
+++ b/larchhaven/net/suspensions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import fcntl
 import os
 from collections.abc import Callable, Iterator
@@ -28,7 +29,13 @@
     A file that is absent, of another version or broken changes nothing. Without a folder nothing is kept.
     """
 
-    def __init__(self, folder: str, changed: Callable[[str, bool], None]) -> None:
+    def __init__(
+        self,
+        folder: str,
+        changed: Callable[[str, bool], None],
+        fits: Callable[[Path, int], bool] = lambda path, size: True,
+    ) -> None:
+        self._fits = fits
         self._path = Path(folder) / "larchhaven-suspended.json" if folder else None
         self._changed = changed
         self._hosts: set[str] = set()
@@ -48,7 +55,11 @@
             self.refresh()
             hosts = self._hosts | hosts if on else self._hosts - hosts
             beside = self._path.with_suffix(".new")
-            beside.write_bytes(msgspec.json.encode(_File(VERSION, sorted(hosts))))
+            data = msgspec.json.encode(_File(VERSION, sorted(hosts)))
+            # A shorter list may always be written: it makes room.
+            if host in hosts and on and not self._fits(self._path, len(data)):
+                raise OSError(errno.ENOSPC, "the memory for files is used up")
+            beside.write_bytes(data)
             beside.rename(self._path)
             self.refresh()
 
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -7,8 +7,10 @@
 from hypothesis import strategies as st
 
 from larchhaven import interface as api
+from larchhaven.memory.account import Account
+from larchhaven.memory.purposes import BUFFER_EXTRA, Purpose
 from larchhaven.net import lines
-from larchhaven.net.buffers import Buffer, Pool
+from larchhaven.net.buffers import SIZE, Buffer, Pool
 from larchhaven.net.discovery import Directory, HostEntry, HostList, read_address
 from larchhaven.net.slots import Slots
 
@@ -78,7 +80,7 @@
 
 def test_buffer_that_comes_back_wakes_all_that_wait() -> None:
     """Guards against a stream that waits for ever behind one that was closed while it waited."""
-    pool = Pool(1)
+    pool = Pool(Account({**dict.fromkeys(Purpose, 0), Purpose.BUFFERS: SIZE + BUFFER_EXTRA}))
     only = pool.take()
     assert isinstance(only, Buffer) and pool.take() is None
     woken: list[int] = []
