Give the proxy a lab, operators' file, command line and soak; free closed streams at once

Need: no tool told why memory grows, and the lab of stand-ins, the operators' settings and a command line are the ground for all that follows. The first soak found 3.3 MB that no purpose explained after two minutes of churn at 32 MB: a closed stream and its owner held each other, twelve objects a connection, until the collector came. Streams now let go as they close: no object is left to the collector.

--- a/larchhaven/__main__.py
+++ b/larchhaven/__main__.py
@@ -1,34 +1,58 @@
-"""Run one proxy: ``python -m larchhaven``, configured by the file that ``EDGE_CONFIG`` names."""
+"""The program: ``python -m larchhaven`` serves; with arguments it is the command line ``larchhaven``."""
 
 from __future__ import annotations
 
 import gc
-import logging
 import os
 import sys
+from collections.abc import Sequence
 
-from larchhaven.net.config import ConfigError, load
-from larchhaven.net.node import Node
+UNUSABLE = 2
 
-BAD_CONFIGURATION = 2
 
+def serve() -> int:
+    """Serve until told to stop, configured by $EDGE_CONFIG and, if it is set, $EDGE_OPERATOR."""
+    # In this order: the process that reads the operators' file is over before the proxy takes its memory.
+    reading = None
+    path = os.environ.get("EDGE_OPERATOR", "")
+    if path:
+        from larchhaven.net.operator_file import read_now
+
+        reading = read_now(path)
+        if reading.complaints:
+            for complaint in reading.complaints:
+                print(complaint.at(path), file=sys.stderr)
+            return UNUSABLE
+
+    from larchhaven.net import logs
+    from larchhaven.net.config import ConfigError, load
+    from larchhaven.net.node import Node
 
-def main() -> int:
-    """Serve until told to stop; return the exit code."""
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(message)s", stream=sys.stderr)
     try:
         config = load(os.environ)
-        node = Node(config)
+        logs.set_up(reading is not None and reading.settings.log_json)
+        node = Node(config, path, reading)
     except ConfigError as error:
         print(f"larchhaven: {error}", file=sys.stderr)
-        return BAD_CONFIGURATION
+        return UNUSABLE
     except OSError as error:
         print(f"larchhaven: cannot listen: {error}", file=sys.stderr)
-        return BAD_CONFIGURATION
+        return UNUSABLE
     gc.freeze()  # what was loaded at the start stays to the end
     node.run()
     return 0
 
 
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Serve if there are no arguments, else run the sub-command; return the exit code."""
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    if given in ([], ["run"], ["serve"]):
+        return serve()  # without the command line's library, which a proxy has no use for
+
+    from larchhaven.cli.app import main as command_line
+
+    return command_line(given)
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/larchhaven/cli/app.py
@@ -0,0 +1,171 @@
+"""What the command line offers: options and help; the work is in the files beside this one."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+HOLDS, DOES_NOT, UNUSABLE = 0, 1, 2
+
+app = typer.Typer(
+    name="larchhaven",
+    no_args_is_help=False,
+    pretty_exceptions_enable=False,
+    help="A load-balancing proxy for connections that stay open a long time. Without a sub-command it serves."
+    " Exit codes: 0 it holds, 1 it does not, 2 the input cannot be used.",
+)
+lab = typer.Typer(help="Play a scripted day around real proxies on loopback sockets, and check the rules.")
+app.add_typer(lab, name="lab")
+
+Config = Annotated[
+    Path | None, typer.Option(help="The platform's JSON file.", envvar="EDGE_CONFIG", show_envvar=True)
+]
+Operator = Annotated[
+    Path | None,
+    typer.Option(help="The operators' file, protobuf text.", envvar="EDGE_OPERATOR", show_envvar=True),
+]
+Json = Annotated[bool, typer.Option("--json", help="Write JSON for a program to read.")]
+
+
+@app.command()
+def serve(config: Config = None, operator: Operator = None) -> None:
+    """Run one proxy until it is told to stop (SIGTERM); SIGHUP reads its files again.
+
+    Example: larchhaven serve --config example/config.json --operator deploy/operator.textproto
+    """
+    environment = dict(os.environ)
+    if config is not None:
+        environment["EDGE_CONFIG"] = str(config)
+    if operator is not None:
+        environment["EDGE_OPERATOR"] = str(operator)
+    sys.stdout.flush()
+    # Anew, so that the proxy does not carry the command line's library for all its life.
+    os.execve(sys.executable, [sys.executable, "-m", "larchhaven"], environment)
+
+
+@app.command()
+def run(config: Config = None, operator: Operator = None) -> None:
+    """Do as serve does: the name that the deploy file uses."""
+    serve(config, operator)
+
+
+@app.command()
+def check(
+    config: Config = None,
+    operator: Operator = None,
+    write: Annotated[
+        Path | None,
+        typer.Option(help="Write the operators' settings as JSON, which a proxy reads without the library."),
+    ] = None,
+    json: Json = False,
+) -> None:
+    """Check the platform's file and the operators' file, and tell all that is wrong at once.
+
+    Each complaint has file, line and column, and says what to write instead. With both files the sum of the
+    caps is checked against the memory that is granted.
+
+    Example: larchhaven check --config example/config.json --operator deploy/operator.textproto
+    """
+    from larchhaven.cli import check as work
+
+    raise typer.Exit(work.run(config, operator, write, json))
+
+
+@app.command()
+def memory(
+    live: Annotated[
+        str | None, typer.Option(help="HOST:PORT of a running proxy's mgmt: show its account.")
+    ] = None,
+    grant: Annotated[float, typer.Option(help="The memory granted, in MB.", min=8)] = 192.0,
+    sockets: Annotated[int, typer.Option(help="The descriptors granted.", min=64)] = 1024,
+    start: Annotated[
+        float | None, typer.Option(help="The program's own size in MB; measured if left out.")
+    ] = None,
+    operator: Operator = None,
+    json: Json = False,
+) -> None:
+    """Show the plan of memory caps for a grant, or the live account of a running proxy.
+
+    Examples: larchhaven memory --grant 64 --sockets 512
+              larchhaven memory --live 127.0.0.1:9100
+    """
+    from larchhaven.cli import memory as work
+
+    if live is not None:
+        raise typer.Exit(work.show_live(live, json))
+    raise typer.Exit(work.show_plan(grant, sockets, start, operator, json))
+
+
+@lab.command("play")
+def lab_play(
+    scenario: Annotated[Path, typer.Argument(help="A scenario, such as example/lab/morning.textproto.")],
+    operator: Operator = None,
+    record: Annotated[Path | None, typer.Option(help="Write what the stand-ins saw, as JSON lines.")] = None,
+    seed: Annotated[int | None, typer.Option(help="Another seed than the scenario's.")] = None,
+    json: Json = False,
+) -> None:
+    """Play a scenario and check the rules.
+
+    The rules: one final answer, drains, one execution at a time, no cold server pushed over, and MOVE before
+    a loss.
+
+    Example: larchhaven lab play example/lab/morning.textproto
+    """
+    from larchhaven.cli import lab as work
+
+    raise typer.Exit(work.play_file(scenario, operator, record, seed, json))
+
+
+@lab.command("check")
+def lab_check(
+    records: Annotated[Path, typer.Argument(help="Records that 'lab play --record' wrote.")],
+    json: Json = False,
+) -> None:
+    """Check the rules again on records that were written before."""
+    from larchhaven.cli import lab as work
+
+    raise typer.Exit(work.check_file(records, json))
+
+
+@app.command()
+def soak(
+    minutes: Annotated[float, typer.Option(help="How long the churn lasts.", min=0)] = 40.0,
+    abuse: Annotated[
+        list[str] | None, typer.Option(help="An abuse to play after the churn, again and again; or 'all'.")
+    ] = None,
+    abuse_minutes: Annotated[float, typer.Option(help="How long each abuse lasts.", min=0.1)] = 3.0,
+    arrivals: Annotated[float, typer.Option(help="New connections a second.", min=0.1)] = 54.0,
+    memory_mb: Annotated[float, typer.Option(help="What the proxy is granted.", min=8)] = 32.0,
+    sockets: Annotated[int, typer.Option(help="The descriptors granted.", min=64)] = 1024,
+    seed: int = 1,
+    out: Annotated[Path, typer.Option(help="Folder for samples, verdicts and the reports.")] = Path(
+        "found/soak"
+    ),
+    json: Json = False,
+) -> None:
+    """Wear a proxy out in the lab and judge whether its memory stays flat and each cap holds.
+
+    The verdict: the slope of the resident and of the accounted size after warm-up with its 95% interval,
+    under 1% an hour with 0 inside; no rule broken; no cap passed.
+
+    Example: larchhaven soak --minutes 5 --abuse never-read --abuse surge --abuse-minutes 1
+    """
+    from larchhaven.cli import soak as work
+
+    raise typer.Exit(
+        work.run(minutes, abuse or [], abuse_minutes, arrivals, memory_mb, sockets, seed, out, json)
+    )
+
+
+def main(arguments: Sequence[str]) -> int:
+    """Run the sub-command that the arguments name; return the exit code."""
+    try:
+        code = app(list(arguments), prog_name="larchhaven")
+    except SystemExit as stop:
+        return stop.code if isinstance(stop.code, int) else DOES_NOT
+    return code if isinstance(code, int) else HOLDS
--- /dev/null
+++ b/larchhaven/cli/memory.py
@@ -0,0 +1,112 @@
+"""``larchhaven memory``: the plan of caps for a grant, and the live account of a running proxy."""
+
+from __future__ import annotations
+
+import http.client
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+
+from larchhaven.memory import plan
+from larchhaven.memory.purposes import ABOUT, COMMAND, DEADLINE, STREAM, Purpose
+from larchhaven.net.accounting import MemoryState
+
+_MEASURE = (
+    "from larchhaven.net import node; from larchhaven.net.accounting import resident; print(resident())"
+)
+TIMEOUT_S = 10.0
+
+
+def measured_start() -> int:
+    """Measure the program's own size on this machine, in bytes, by loading it in a process of its own."""
+    done = subprocess.run([sys.executable, "-c", _MEASURE], capture_output=True, text=True, check=True)
+    return int(done.stdout)
+
+
+def show_plan(grant: float, sockets: int, start: float | None, operator: Path | None, as_json: bool) -> int:
+    """Print the plan; return the exit code."""
+    wanted: dict[Purpose, int] = {}
+    if operator is not None:
+        from larchhaven.operator.read import read_file
+
+        reading = read_file(str(operator))
+        for complaint in reading.complaints:
+            print(complaint.at(str(operator)), file=sys.stderr)
+        if reading.complaints:
+            return 2
+        wanted = {p: reading.settings.caps[p.key] for p in Purpose if p.key in reading.settings.caps}
+    own = int(start * plan.MB) if start is not None else measured_start()
+    try:
+        made = plan.make(int(grant * plan.MB), own, sockets, wanted)
+    except plan.PlanError as error:
+        print(f"larchhaven memory: {error}", file=sys.stderr)
+        return 2
+    connection = 2 * STREAM + COMMAND + 3 * DEADLINE
+    stand = min(
+        made.caps[Purpose.CONNECTIONS] // (2 * STREAM),
+        made.caps[Purpose.TABLES] // (COMMAND + 3 * DEADLINE),
+        sockets // 2,
+    )
+    if as_json:
+        print(
+            msgspec.json.encode(
+                {
+                    "grant": made.grant, "start": made.start, "margin": made.margin, "planned": made.planned,
+                    "short": made.short, "socket_bound": made.socket_bound, "connections_fit": stand,
+                    "caps": {purpose.key: cap for purpose, cap in made.caps.items()},
+                }
+            ).decode()
+        )  # fmt: skip
+        return 1 if made.short else 0
+    print(f"{'granted':<14}{_kb(made.grant)}")
+    print(f"{'program':<14}{_kb(made.start)}  {'given' if start is not None else 'measured here'}")
+    print(f"{'unplanned':<14}{_kb(made.margin)}  what the allocator wastes")
+    for purpose, cap in made.caps.items():
+        print(f"{purpose.key:<14}{_kb(cap)}  {ABOUT[purpose].covers}")
+        print(f"{'':<28}at the cap: {ABOUT[purpose].at_cap}")
+    print(f"room for some {stand} standing connections, at {connection:,} bytes each; a socket holds at most")
+    print(f"{made.socket_bound:,} bytes each way in the system")
+    if made.short:
+        print("the grant is too small: the least that each purpose needs passes it")
+    return 1 if made.short else 0
+
+
+def show_live(address: str, as_json: bool) -> int:
+    """Print a running proxy's account; return the exit code."""
+    host, _, port = address.rpartition(":")
+    if not port.isdigit() or not host:
+        print(f"larchhaven memory: --live must be HOST:PORT, not {address!r}", file=sys.stderr)
+        return 2
+    caller = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
+    try:
+        caller.request("GET", "/v1/memory")
+        answer = caller.getresponse()
+        body = answer.read()
+        if answer.status != 200:
+            print(f"larchhaven memory: {address} answers {answer.status}", file=sys.stderr)
+            return 2
+        state = msgspec.json.decode(body, type=MemoryState)
+    except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
+        print(f"larchhaven memory: {address}: {error}", file=sys.stderr)
+        return 2
+    finally:
+        caller.close()
+    over = [name for name, line in state.purposes.items() if line.used > line.cap]
+    if as_json:
+        print(body.decode())
+        return 1 if over or state.resident > state.grant else 0
+    print(f"resident {_kb(state.resident)} of {_kb(state.grant)} granted, at most {_kb(state.resident_peak)}")
+    print(f"grown by {_kb(state.growth)} since the start; of that unaccounted {_kb(state.unaccounted)}")
+    print(f"{'purpose':<14}{'used':>12}{'most':>12}{'cap':>12}{'refused':>9}")
+    for name, line in state.purposes.items():
+        mark = "  over its cap" if line.used > line.cap else ""
+        print(f"{name:<14}{_kb(line.used)}{_kb(line.high)}{_kb(line.cap)}{line.refused:>9}{mark}")
+    sockets = state.descriptors
+    print(f"{'descriptors':<14}{sockets.used:>12}{'':>12}{sockets.cap:>12}{sockets.refused:>9}")
+    return 1 if over or state.resident > state.grant else 0
+
+
+def _kb(size: int) -> str:
+    return f"{size / 1024:>9,.0f} KB"
--- a/larchhaven/memory/admission.py
+++ b/larchhaven/memory/admission.py
@@ -14,6 +14,10 @@
 RESERVE_SHARE = 0.08
 # A client that has taken nothing of what was sent for so long may give way to others.
 UNREAD_US = 5_000_000
+# While the system holds more for our sockets than this part of its cap, clients that have read nothing for
+# the shorter time give way too: what they ask for comes faster than one can look.
+KERNEL_SHARE = 0.6
+KERNEL_UNREAD_US = 1_000_000
 
 
 class Giver(Enum):
@@ -32,16 +36,16 @@
     used: int
     each: int
 
-    def fits(self, reserve_too: bool) -> bool:
-        """Tell whether one more fits; ``reserve_too`` if it may use the reserve."""
-        whole = self.whole if reserve_too else self.whole - int(self.whole * RESERVE_SHARE)
-        return self.used + self.each <= whole
+    def fits(self, reserve_share: float) -> bool:
+        """Tell whether one more fits beside a reserve of this part of the whole."""
+        return self.used + self.each <= self.whole - int(self.whole * reserve_share)
 
 
 class Admission:
     """Whether a newcomer of a class is let in."""
 
     def __init__(self, worths: Sequence[float]) -> None:
+        self.reserve_share = RESERVE_SHARE
         self._best = max(worths, default=0.0)
         self._worths = list(worths)
 
@@ -49,13 +53,19 @@
         """Return None if a command of this class is let in, else the number of the room that is short."""
         worthy = 0 <= cls < len(self._worths) and self._worths[cls] >= self._best
         for number, room in enumerate(rooms):
-            if not room.fits(worthy):
+            if not room.fits(0.0 if worthy else self.reserve_share):
                 return number
         return None
 
 
 def gives_way(
-    silent: int, silent_most: int, parting: int, unread_since: int | None, now: int, short: bool
+    silent: int,
+    silent_most: int,
+    parting: int,
+    unread_since: int | None,
+    now: int,
+    short: bool,
+    unread_us: int = UNREAD_US,
 ) -> Giver | None:
     """Tell who is to give way now, if anybody.
 
@@ -68,6 +78,6 @@
         return None
     if parting:
         return Giver.PARTING
-    if unread_since is not None and now >= unread_since + UNREAD_US:
+    if unread_since is not None and now >= unread_since + unread_us:
         return Giver.UNREAD
     return Giver.SILENT if silent else None
--- a/larchhaven/memory/plan.py
+++ b/larchhaven/memory/plan.py
@@ -12,15 +12,15 @@
 MARGIN_SHARE = 0.12
 # The room by purpose, where operators set nothing.
 SHARES: dict[Purpose, float] = {
-    Purpose.CONNECTIONS: 0.28,
-    Purpose.TABLES: 0.17,
-    Purpose.BUFFERS: 0.23,
+    Purpose.CONNECTIONS: 0.26,
+    Purpose.TABLES: 0.21,
+    Purpose.BUFFERS: 0.18,
     Purpose.PROBES: 0.04,
-    Purpose.PEERS: 0.05,
+    Purpose.PEERS: 0.04,
     Purpose.MANAGEMENT: 0.09,
     Purpose.LOG: 0.01,
     Purpose.FILES: 0.03,
-    Purpose.KERNEL: 0.10,
+    Purpose.KERNEL: 0.14,
 }
 # With less than this a purpose cannot do its work at all: 24 callers, one list, one upgrade, and so on.
 LEAST: dict[Purpose, int] = {
@@ -44,7 +44,7 @@
 }
 # The bounds of what the system may hold for one socket one way; and how many times the cap all could hold
 # together: most sockets are empty, and those that fill up give way.
-SOCKET_LEAST, SOCKET_MOST, OVERCOMMIT = 16 << 10, 256 << 10, 4
+SOCKET_LEAST, SOCKET_MOST, OVERCOMMIT = 8 << 10, 256 << 10, 4
 
 
 class PlanError(Exception):
--- a/larchhaven/net/accounting.py
+++ b/larchhaven/net/accounting.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from larchhaven.memory.account import Account
-from larchhaven.memory.admission import UNREAD_US
+from larchhaven.memory.admission import KERNEL_SHARE, KERNEL_UNREAD_US
 from larchhaven.memory.plan import Plan
 from larchhaven.memory.purposes import Purpose
 from larchhaven.memory.reality import Reality
@@ -18,6 +18,8 @@
 from larchhaven.net.notices import Notices
 
 SAMPLE_US = 1_000_000
+# While clients do not read, the system's buffers are looked at more often.
+UNREAD_LOOK_US = 250_000
 _PAGE = os.sysconf("SC_PAGE_SIZE")
 # Files of ours in $TMPDIR begin like this; of a folder with very many files so many are looked at.
 FILES_BEGIN = "larchhaven-"
@@ -65,6 +67,14 @@
     refused: int
 
 
+class Descriptors(msgspec.Struct):
+    """The descriptors that clients and their executions share; refusals are commands turned away for them."""
+
+    cap: int
+    used: int
+    refused: int
+
+
 class MemoryState(msgspec.Struct):
     """The answer to ``GET /v1/memory``, all sizes in bytes."""
 
@@ -80,6 +90,7 @@
     trims: int
     errors: int  # give-backs that exceeded what was taken
     purposes: dict[str, PurposeState]
+    descriptors: Descriptors
 
 
 class Accounting:
@@ -107,6 +118,7 @@
                 "memory", f"{self.plan.grant >> 20} MB are too few: the least caps pass what is granted"
             )
         self._loop.after(SAMPLE_US, self._sample)
+        self._loop.after(UNREAD_LOOK_US, self._look_at_unread)
 
     def set_plan(self, plan: Plan) -> None:
         """Put new caps to use; what is in use beyond them stays until it ends."""
@@ -126,7 +138,6 @@
     def _sample(self) -> None:
         self._loop.after(SAMPLE_US, self._sample)
         self._count()
-        self._spare_kernel()
         size = resident()
         if not size:
             return
@@ -141,12 +152,17 @@
                 f"{last.unaccounted >> 10} KB of {last.resident >> 10} KB have no purpose in the account",
             )
 
-    def _spare_kernel(self) -> None:
-        """Have clients give way that do not read, while the system holds more for us than the cap."""
+    def _look_at_unread(self) -> None:
+        """Have clients that do not read give way, the longest unread first, before too much is held."""
+        self._loop.after(UNREAD_LOOK_US, self._look_at_unread)
+        if not self._pool.unread:
+            return
         account = self.account
+        account.set_part(Purpose.KERNEL, "sockets", self._loop.kernel_bytes())
         used = account.used(Purpose.KERNEL)
         for stream, since in list(self._pool.unread.items()):
-            if used <= account.cap(Purpose.KERNEL) or self._loop.now < since + UNREAD_US:
+            enough = used <= KERNEL_SHARE * account.cap(Purpose.KERNEL)
+            if enough or self._loop.now < since + KERNEL_UNREAD_US:
                 return
             used -= stream.kernel_bytes()
             account.refuse(Purpose.KERNEL)
@@ -161,7 +177,7 @@
         account.refuse(Purpose.FILES)
         return False
 
-    def state(self) -> MemoryState:
+    def state(self, descriptors: Descriptors) -> MemoryState:
         """Return the account as it stands, counted just now; the resident size is read just now too."""
         self._count()
         size = resident()
@@ -181,6 +197,7 @@
             trims=self.reality.trims,
             errors=self.account.over,
             purposes=self._purposes(),
+            descriptors=descriptors,
         )
 
     def _purposes(self) -> dict[str, PurposeState]:
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from typing import Any, Protocol
@@ -140,7 +141,7 @@
         self._figures = figures
         self._outcomes = figures.outcomes()
         self._account = account or Account.unbounded()
-        self.arrived_at = loop.now  # when the last command came
+        self.arrived_at = 0  # when the last command came
         self._commands: Slots[Command] = Slots()
         self._identities: dict[bytes, int] = {}  # of the open commands
         self._suspended: dict[str, int] = {}  # the instances taken out, and since when
@@ -183,6 +184,12 @@
         """Forget what was noted of an instance that is gone."""
         self._notes.pop(host, None)
 
+    def forget_holders(self, count: int) -> None:
+        """Forget the holders told longest ago: their connections set up anew if they come mid-flow."""
+        holders = self._balancer.holders
+        for tag in list(itertools.islice(holders, count)):
+            del holders[tag]
+
     def holders(self) -> int:
         """Count the connections whose holder is remembered."""
         return len(self._balancer.holders)
--- a/larchhaven/net/buffers.py
+++ b/larchhaven/net/buffers.py
@@ -130,6 +130,30 @@
         """Note that the connection is lost, or never came up; the stream is closed already."""
 
 
+class _Nobody:
+    """The owner of a closed stream.
+
+    A stream and its owner hold each other. Left to the garbage collector, the connections of a busy minute
+    were megabytes that no purpose explained; so the stream lets go, and both are freed at once.
+    """
+
+    def on_open(self) -> None:
+        """Nothing."""
+
+    def on_input(self) -> None:
+        """Nothing."""
+
+    def on_room(self) -> None:
+        """Nothing."""
+
+    def on_end(self) -> None:
+        """Nothing."""
+
+    def on_broken(self, code: int) -> None:
+        """Nothing."""
+
+
+_NOBODY = _Nobody()
 # Streams throw their input away here; what is written is never read.
 _DRAIN = memoryview(bytearray(DROP_SIZE))
 
@@ -139,7 +163,8 @@
 
     __slots__ = (
         "__weakref__", "_channel", "_connecting", "_deaf", "_ending", "_finished_at", "_heard_at", "_linger",
-        "_loop", "_outbox", "_pool", "_reading", "_sock", "closed", "ended", "inbox", "owner", "yielding",
+        "_loop", "_outbox", "_pool", "_reading", "_sock", "closed", "ended", "gone", "inbox", "owner",
+        "yielding",
     )  # fmt: skip
 
     owner: Owner  # set by whoever takes the stream over, if not at once
@@ -166,6 +191,7 @@
         self._linger: Deadline | None = None
         # What ends the connection for others' sake while its other side does not read; None: not spared.
         self.yielding: Callable[[], None] | None = None
+        self.gone: Callable[[], None] | None = None  # called once when the stream is closed
         self._finished_at = self._heard_at = 0
         self._channel = loop.add(sock, READ, self._on_ready)
         pool.account.must(pool.streams, STREAM)
@@ -403,6 +429,10 @@
             if buffer is not None:
                 self._pool.give(buffer)
         self.inbox = self._outbox = None
+        self.owner, self.yielding = _NOBODY, None
+        gone, self.gone = self.gone, None
+        if gone is not None:
+            gone()
 
     def close_unread(self) -> None:
         """End a connection whose other side does not read, so that others have its room."""
@@ -419,9 +449,10 @@
 
     def _break(self, code: int) -> None:
         if not self.closed:
+            owner = self.owner
             self.close()
             if not self._deaf:
-                self.owner.on_broken(code)
+                owner.on_broken(code)
 
     # Readiness
 
--- a/larchhaven/net/clients.py
+++ b/larchhaven/net/clients.py
@@ -6,7 +6,7 @@
 import socket
 from collections.abc import Mapping
 
-from larchhaven.memory.admission import Giver, gives_way
+from larchhaven.memory.admission import UNREAD_US, Giver, gives_way
 from larchhaven.net import lines
 from larchhaven.net.broker import Broker, Execution, Wants
 from larchhaven.net.buffers import SHORT_OF, Pool, Stream
@@ -146,6 +146,7 @@
         self.classes = classes
         self.away = False  # clients are sent away; those that come all the same are served
         self._rooms = rooms
+        self.unread_us = UNREAD_US
         self._silent_most = max(int(SILENT_SHARE * descriptors), 1)
         # Those that have not brought a first line yet, the oldest first.
         self._silent: dict[ServiceClient, None] = {}
@@ -220,7 +221,13 @@
     def _giver(self) -> Giver | None:
         unread = next(iter(self.pool.unread.values()), None)
         return gives_way(
-            len(self._silent), self._silent_most, len(self.pool.parting), unread, self.loop.now, self._short()
+            len(self._silent),
+            self._silent_most,
+            len(self.pool.parting),
+            unread,
+            self.loop.now,
+            self._short(),
+            self.unread_us,
         )
 
     def _make_room(self) -> None:
--- a/larchhaven/net/loop.py
+++ b/larchhaven/net/loop.py
@@ -18,7 +18,7 @@
 READ = selectors.EVENT_READ
 WRITE = selectors.EVENT_WRITE
 # Cancelled deadlines are dropped when they come due; with more of them than this and than live ones, at once.
-_DEAD_MOST = 1_000
+_DEAD_MOST = 250
 # getsockopt's SO_MEMINFO and its fields: rmem_alloc, rcvbuf, wmem_alloc, sndbuf, fwd_alloc, wmem_queued, ...
 _SO_MEMINFO = 55
 _MEMINFO = struct.Struct("9I")
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -18,7 +18,8 @@
 from larchhaven.memory import plan, purposes
 from larchhaven.memory.account import Account
 from larchhaven.memory.purposes import Purpose
-from larchhaven.net.accounting import Accounting, resident
+from larchhaven.net import logs
+from larchhaven.net.accounting import Accounting, Descriptors, resident
 from larchhaven.net.broker import Broker, Outside, Wants
 from larchhaven.net.buffers import Pool, Stream
 from larchhaven.net.clients import SPARE_DESCRIPTORS, Listener
@@ -30,11 +31,13 @@
 from larchhaven.net.loop import Loop
 from larchhaven.net.management import DESCRIPTORS, Management
 from larchhaven.net.notices import KINDS_MOST, Notices
+from larchhaven.net.operator_file import OperatorFile
 from larchhaven.net.peers import Peers
 from larchhaven.net.probes import Probes
 from larchhaven.net.relay import Relay
 from larchhaven.net.rooms import Rooms
 from larchhaven.net.suspensions import Suspensions
+from larchhaven.operator.settings import Complaint, Reading, Settings
 
 # The parts of the memory for tables that what only helps may fill: it is forgotten, the oldest first.
 HOLDERS_SHARE = 0.25
@@ -55,18 +58,32 @@
 PASS_MOST_US = 500_000
 END_US = 400_000
 
+# Complaints about one reading that the log is told of.
+COMPLAINTS_MOST = 20
+
 _log = logging.getLogger("larchhaven")
 
 
+def _wanted(own: Settings) -> dict[Purpose, int]:
+    return {purpose: own.caps[purpose.key] for purpose in Purpose if purpose.key in own.caps}
+
+
 class Node:
     """One proxy."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, operator: str = "", reading: Reading | None = None) -> None:
         self._config = config
+        self._logs_json = reading is not None and reading.settings.log_json
+        own = reading.settings if reading is not None else Settings()
         settings = config.settings
         self._loop = loop = Loop()
         grant = int(config.limits.memory_mb * plan.MB)
-        self._plan = caps = plan.make(grant, resident(), config.limits.sockets)
+        self._start = resident()
+        try:
+            caps = plan.make(grant, self._start, config.limits.sockets, _wanted(own))
+        except plan.PlanError as error:
+            line = reading.memory_at[0] if reading is not None else 0
+            raise ConfigError(f"{operator}:{line}: {error}") from None
         self._account = account = Account(caps.caps)
         self._notices = notices = Notices(loop, min(KINDS_MOST, account.cap(Purpose.LOG) // purposes.NOTICE))
         self._pool = pool = Pool(account, bound=caps.socket_bound)
@@ -117,6 +134,7 @@
         descriptors = self._descriptors() - (DESCRIPTORS if config.mgmt is not None else 0)
         most = max(descriptors - SPARE_DESCRIPTORS, descriptors // 2)
         self._rooms = Rooms(loop, account, [c.worth for c in settings.classes], most)
+        self._rooms.spare_tables = self._spare_tables
         self._listener = Listener(
             loop,
             pool,
@@ -132,6 +150,9 @@
         if config.mgmt is not None:
             self._management = Management(loop, config.mgmt, self, shared, aside)
         self._count_parts()
+        self._operator_path = operator
+        self._operator = OperatorFile(loop, operator, self._on_operator)
+        self._apply(own)
         loop.turn_end = self._end_turn
         self._stopping = False
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -158,6 +179,7 @@
         """Say how what has no owner to charge it is counted."""
         broker, directory, loop = self._broker, self._directory, self._loop
         self._accounting.parts = {
+            (Purpose.TABLES, "first use"): lambda: purposes.FIRST_USE if broker.arrived_at else 0,
             (Purpose.TABLES, "deadlines"): lambda: loop.deadlines() * purposes.DEADLINE,
             (Purpose.TABLES, "servers"): lambda: directory.members() * purposes.SERVER,
             (Purpose.TABLES, "hosts listed"): lambda: directory.listed() * purposes.HOST_ONCE,
@@ -165,6 +187,11 @@
             (Purpose.LOG, "notices"): lambda: self._notices.kinds() * purposes.NOTICE,
         }
 
+    def _spare_tables(self, size: int) -> None:
+        self._broker.forget_holders(size // purposes.HOLDER + 1)
+        held = self._broker.holders() * purposes.HOLDER
+        self._account.set_part(Purpose.TABLES, "holders", held)
+
     def _forget(self, host: str) -> None:
         """Forget all but the decisions about an instance that is gone; the decision module does by itself."""
         self._probes.drop(host)
@@ -289,7 +316,9 @@
 
     def memory(self) -> bytes:
         """Return the memory account as JSON."""
-        return msgspec.json.encode(self._accounting.state())
+        rooms = self._rooms
+        descriptors = Descriptors(rooms.descriptors, self._loop.sockets(), rooms.refused_descriptors)
+        return msgspec.json.encode(self._accounting.state(descriptors))
 
     def suspend(self, host: str, on: bool) -> HTTPStatus:
         """Take an instance out, or let it serve again; the yes comes when it is saved and heeded."""
@@ -324,11 +353,13 @@
     # A new configuration
 
     def _on_reload(self) -> None:
-        """Read the configuration again and follow discovery to where it is now.
+        """Read the configuration again and follow discovery to where it is now; read the operators' file.
 
         Everything else stands: connections, the list, what is known of loads. What else has changed in the
         file counts from the next start on. A file that cannot be used changes nothing.
         """
+        if self._operator_path:
+            self._operator.read(int(self._config.limits.memory_mb * plan.MB) - resident())
         try:
             config = load(os.environ)
         except ConfigError as error:
@@ -344,6 +375,35 @@
             self._config = replace(self._config, discovery=config.discovery)
             self._discovery.follow(config.discovery)
 
+    def _on_operator(self, reading: Reading) -> None:
+        """Take the operators' file as a whole, or nothing of it."""
+        path = self._operator_path
+        complaints = [complaint.at(path) for complaint in reading.complaints]
+        if not complaints:
+            grant, sockets = int(self._config.limits.memory_mb * plan.MB), self._config.limits.sockets
+            try:
+                caps = plan.make(grant, self._start, sockets, _wanted(reading.settings))
+            except plan.PlanError as error:
+                complaints = [Complaint(*reading.memory_at, str(error)).at(path)]
+        if complaints:
+            self._figures.config_reload_errors += 1
+            for complaint in complaints[:COMPLAINTS_MOST]:
+                _log.warning("operators' file not reloaded: %s", complaint)
+            return
+        self._figures.config_reloads += 1
+        self._accounting.set_plan(caps)
+        self._apply(reading.settings)
+        _log.info("operators' file reloaded: %s", path)
+
+    def _apply(self, own: Settings) -> None:
+        """Put operators' settings to use, the caps excepted."""
+        self._rooms.admission.reserve_share = own.reserve_share
+        self._listener.unread_us = own.unread_us
+        self._notices.quiet_us = own.quiet_us
+        if own.log_json != self._logs_json:
+            logs.set_up(own.log_json)
+            self._logs_json = own.log_json
+
     # The end
 
     def _on_stop(self) -> None:
--- a/larchhaven/net/notices.py
+++ b/larchhaven/net/notices.py
@@ -20,6 +20,7 @@
     def __init__(self, loop: Loop, kinds_most: int = KINDS_MOST) -> None:
         self._loop = loop
         self.kinds_most = kinds_most
+        self.quiet_us = QUIET_US
         # By kind: when it may be written next, and how many were held back.
         self._kinds: dict[str, tuple[int, int]] = {}
 
@@ -35,6 +36,7 @@
             return
         while len(self._kinds) >= max(self.kinds_most, 1):
             del self._kinds[next(iter(self._kinds))]
-        self._kinds[kind] = (self._loop.now + QUIET_US, 0)
+        self._kinds[kind] = (self._loop.now + self.quiet_us, 0)
         more = f" ({held} more like it)" if held else ""
-        _log.warning("%s: %s%s", kind, detail[:200].encode("unicode_escape").decode(), more)
+        plain = detail[:200].encode("unicode_escape").decode()
+        _log.warning("%s: %s%s", kind, plain, more, extra={"event": kind, "detail": plain, "held": held})
--- a/larchhaven/net/relay.py
+++ b/larchhaven/net/relay.py
@@ -142,6 +142,7 @@
         self._heard_at = loop.now
         self._idle = loop.after(IDLE_US, self._on_idle)
         client.yielding = self.give_way
+        client.gone = instance.gone = self._on_gone
         if isinstance(first, bytes):
             client.write(first + lines.END)
         else:
@@ -315,6 +316,11 @@
         self.other(side).stream.close(reset=True)
         self._loop.cancel(self._closing)
 
+    def _on_gone(self) -> None:
+        """Let go once both streams are closed: relay and sides hold each other, and nobody else does."""
+        if self._client.stream.closed and self._instance.stream.closed:
+            del self._client.relay, self._instance.relay
+
     def _finish_both(self) -> None:
         self._tell_over(*(self._ending or (api.Result.CANCELLED, None)))
         self._loop.cancel(self._closing)
--- a/larchhaven/net/rooms.py
+++ b/larchhaven/net/rooms.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from larchhaven.memory.account import Account
 from larchhaven.memory.admission import Admission, Room
@@ -19,9 +19,11 @@
     def __init__(self, loop: Loop, account: Account, worths: Sequence[float], descriptors: int) -> None:
         self._loop = loop
         self._account = account
-        self._admission = Admission(worths)
+        self.admission = Admission(worths)
         self.descriptors = descriptors  # that clients and their executions may use together
         self.refused_descriptors = 0
+        # Forgets what only helps, as many bytes of the tables as it is asked for or as there are.
+        self.spare_tables: Callable[[int], None] = lambda size: None
 
     def short(self, silent: int) -> bool:
         """Tell whether no newcomer fits; each silent client may yet need an execution."""
@@ -37,6 +39,9 @@
         marks has a place already, in the fleet if not here: it may use the reserve, whatever its class.
         """
         account = self._account
+        lacking = COMMAND + size - account.room(Purpose.TABLES)
+        if lacking > 0:
+            self.spare_tables(lacking)
         cap = account.cap(Purpose.CONNECTIONS)
         rooms = (
             Room(cap - TURN_AWAY * STREAM, account.used(Purpose.CONNECTIONS) - sparable * STREAM, STREAM),
@@ -44,9 +49,9 @@
             Room(self.descriptors - TURN_AWAY, self._loop.sockets() - sparable, 1),
         )
         if standing:
-            short = next((i for i, room in enumerate(rooms) if not room.fits(True)), None)
+            short = next((i for i, room in enumerate(rooms) if not room.fits(0.0)), None)
         else:
-            short = self._admission.may_take(cls, rooms)
+            short = self.admission.may_take(cls, rooms)
         if short == 2:
             self.refused_descriptors += 1
         elif short is not None:
--- /dev/null
+++ b/tests/test_lab.py
@@ -0,0 +1,122 @@
+"""The lab: the rule checker catches each broken rule, and scripted days hold against the real program."""
+
+from __future__ import annotations
+
+import asyncio
+import io
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from larchhaven.lab.record import Record
+from larchhaven.lab.rules import BROKEN_MOST, Checker
+from larchhaven.lab.site import load, play
+
+ROOT = Path(__file__).parent.parent
+MS = 1_000
+S = 1_000_000
+
+
+def r(at: int, kind: str, server: str = "", text: str = "", id: str = "a", wait: int = S) -> Record:
+    return Record(at, kind, id, server, text, wait)
+
+
+UP = [r(0, "ask"), r(MS, "sent", "s0"), r(2 * MS, "up", "s0", "UP 1"), r(3 * MS, "answer", text="UP 1")]
+
+
+@pytest.mark.parametrize(
+    ("records", "rule"),
+    [
+        (UP, None),
+        ([*UP, r(S, "leave"), r(S, "over", "s0", "proxy")], None),
+        ([*UP, r(S, "over", "s0", "self"), r(S, "end")], None),  # the exam server ended it
+        ([*UP, r(S, "move"), r(S, "end")], None),
+        ([*UP, r(S, "left", "s0"), r(S, "end")], None),  # the exam server crashed
+        ([*UP, r(S, "end")], "move before loss"),
+        ([r(0, "ask"), r(MS, "answer", text="BUSY")], None),
+        ([r(0, "ask"), r(MS, "answer", text="BUSY"), r(2 * MS, "answer", text="BUSY")], "one answer"),
+        ([r(0, "ask"), r(MS, "answer")], "one answer"),
+        ([r(0, "ask"), r(2 * S, "answer", text="BUSY")], "one answer"),
+        ([r(0, "ask"), r(MS, "answer", text="UP forged")], "one answer"),
+        ([r(0, "ask"), r(MS, "leave")], None),
+        ([r(0, "ask"), r(9 * S, "told", "s0", "ready")], "one answer"),
+        ([r(0, "told", "s0", "draining"), r(3 * S, "sent", "s0")], None),
+        ([r(0, "told", "s0", "draining"), r(4 * S, "sent", "s0")], "drain"),
+        ([r(0, "told", "s0", "draining"), r(S, "told", "s0", "ready"), r(4 * S, "sent", "s0")], None),
+        ([r(0, "sent", "s0"), r(MS, "sent", "s1"), r(20 * MS, "over", "s0")], None),
+        ([r(0, "sent", "s0"), r(100 * MS, "sent", "s1"), r(120 * MS, "over", "s0")], None),
+        ([r(0, "sent", "s0"), r(100 * MS, "sent", "s1"), r(300 * MS, "over", "s0")], "one execution"),
+        (
+            [r(0, "sent", "s0"), r(1, "sent", "s1"), r(2, "sent", "s2")],
+            "one execution",
+        ),
+    ],
+)
+def test_checker_catches_what_breaks_a_rule_and_nothing_else(records: list[Record], rule: str | None) -> None:
+    checker = Checker()
+    for record in records:
+        checker.take(record)
+    assert [one.rule for one in checker.finish(records[-1].at)] == ([rule] if rule else [])
+
+
+@pytest.mark.parametrize(("count", "breaks"), [(8, False), (30, True)])
+def test_checker_catches_a_cold_server_that_is_pushed_over(count: int, breaks: bool) -> None:
+    checker = Checker()
+    checker.take(Record(0, "born", server="s0", wait=7 * S, amount=10))
+    for at in range(0, 3 * S, 100 * MS):
+        if at < count * 100 * MS:
+            checker.take(r(at, "sent", "s0", id=f"c{at}"))
+        else:
+            checker.take(r(at, "over", "s0", id="none"))
+    assert bool(checker.broken) is breaks and all(one.rule == "cold" for one in checker.broken)
+
+
+def test_checker_forgets_what_is_over_and_bounds_what_it_tells() -> None:
+    checker = Checker()
+    for number in range(20_000):
+        at = number * 10 * MS
+        checker.take(r(at, "ask", id=f"c{number}"))
+        checker.take(r(at, "answer", id=f"c{number}"))
+    assert len(checker._open) < 2_000
+    assert len(checker.broken) == BROKEN_MOST and checker.more == 20_000 - BROKEN_MOST
+
+
+DAY = """
+name: "day" seed: 3 seconds: 6.5
+classes { name: "chat" worth: 1 } classes { name: "exam" worth: 5 }
+servers { count: 4 capacity: 40 setup_ms: 3 }
+terminals { class: "chat" arrivals_per_second: 12 stay_seconds: 3 message_seconds: 0.2 retries: 1 }
+terminals { class: "exam" arrivals_per_second: 4 stay_seconds: 3 message_seconds: 0.2 }
+"""
+
+
+@pytest.mark.parametrize(
+    "more",
+    [
+        'events { at_seconds: 1.5 drain: "s0" } events { at_seconds: 5 gone: "s0" }',
+        'events { at_seconds: 1.5 crash: "s1" } events { at_seconds: 3 start: "s1" }',
+        'events { at_seconds: 2 hang: "s2" }',
+        "proxies: 2 events { at_seconds: 1 discovery_down: true }",
+        "events { at_seconds: 2 reconnect_all: true } events { at_seconds: 4 surge: 60 }",
+    ],
+    ids=["drain", "crash", "hang", "discovery", "reconnect"],
+)
+def test_rules_hold_on_a_scripted_day(more: str) -> None:
+    scenario, complaints = load(DAY + more)
+    assert not complaints
+    written = io.BytesIO()
+    outcome = asyncio.run(play(scenario, record=written))
+    assert outcome.holds, (outcome.broken[:5], outcome.crashed, outcome.errors)
+    assert outcome.classes["chat"]["answers"]["UP"] > 30 and outcome.classes["exam"]["answers"]["UP"] > 5
+    unanswered = outcome.records["ask"] - outcome.records["answer"]
+    assert 0 <= unanswered <= 5  # those under way as the day ended
+    again = Checker()
+    for line in written.getvalue().splitlines():
+        again.take(msgspec.json.decode(line, type=Record))
+    assert again.broken == []
+
+
+def test_example_scenarios_are_read_without_a_complaint() -> None:
+    paths = list((ROOT / "example" / "lab").glob("*.textproto"))
+    assert paths and all(load(path.read_text())[1] == [] for path in paths)
--- /dev/null
+++ b/tests/test_operator.py
@@ -0,0 +1,123 @@
+"""The operators' file: what is read, what is complained of, and that the schema in use is the one written."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from larchhaven.lab import site
+from larchhaven.net.operator_file import read_compiled, read_now
+from larchhaven.operator.operator_pb2 import Operator
+from larchhaven.operator.read import read_file, read_text
+from larchhaven.operator.settings import Reading, Settings
+from larchhaven.operator.text import COMPLAINTS_MOST, parse
+
+ROOT = Path(__file__).parent.parent
+DEFAULT = ROOT / "deploy" / "operator.textproto"
+
+
+def test_file_in_the_repository_is_the_default() -> None:
+    reading = read_file(str(DEFAULT))
+    assert reading.settings == Settings() and reading.complaints == []
+    assert DEFAULT.read_text().splitlines()[reading.memory_at[0] - 1].startswith("memory")
+
+
+def test_values_are_read_in_the_units_of_the_proxy() -> None:
+    text = "memory { buffers: 2.5 } admission { reserve_percent: 0 unread_seconds: 1.5 } log { form: JSON }"
+    assert read_text(text).settings == Settings({"buffers": 2_621_440}, 0.0, 1_500_000, True)
+
+
+@pytest.mark.parametrize(
+    ("text", "complaints"),
+    [
+        ("memory { bufers: 3 }", ["1:10: 'memory' has no field 'bufers': write 'buffers'"]),
+        ("what: 1", ["1:1: the file has no field 'what': known are memory, admission, log"]),
+        ("\n memory {\n  tables: 0.1\n }", ["3:11: 'memory.tables' is 0.1 MB: write 0.25 to 4096 MB"]),
+        ("log { quiet_seconds: -1 }", ["1:22: 'log.quiet_seconds' is -1 s: write 1 to 3600 s"]),
+        ("log { quiet_seconds: nan }", ["1:22: 'log.quiet_seconds' is a finite number"]),
+        ('log { quiet_seconds: "5" }', ["1:22: 'log.quiet_seconds' is a number, not '\"5\"'"]),
+        ("log { form: JSN }", ["1:13: 'log.form' has no value 'JSN': write JSON"]),
+        ("log { form JSON }", ["1:12: 'log.form' is a value: write 'form: ...'"]),
+        ("log: 3", ["1:6: 'log' is a group: write 'log { ... }'"]),
+        ("log {", ["1:6: the text ends before log is closed: write '}'"]),
+        (
+            "memory { log: 1 log: 2 }\nmemory { }",
+            [
+                "1:17: 'memory.log' is given again: keep one of the two, the first is at 1:10",
+                "2:1: 'memory' is given again: keep one of the two, the first is at 1:1",
+            ],
+        ),
+        (
+            "x { a: [1, {}] b < c: -2 > } memory { kernel: [1] files: {} }",
+            [
+                "1:1: the file has no field 'x': known are memory, admission, log",
+                "1:47: 'memory.kernel' is a number, not a group or a list",
+                "1:58: 'memory.files' is a number, not a group or a list",
+            ],
+        ),
+    ],
+)
+def test_each_complaint_has_its_place_and_says_what_to_write(text: str, complaints: list[str]) -> None:
+    found = [complaint.at("f").removeprefix("f:") for complaint in read_text(text).complaints]
+    assert found == complaints
+
+
+WORDS = "memory admission log { } < > : ; , [ ] -1 0.5 nan 1e999 buffers form JSON 'x' \"y # \n \x00 é"
+WHOLE = ("memory { buffers: 3 }", "log { form: TEXT }")
+PIECES = st.lists(st.sampled_from((*WORDS.split(" "), *WHOLE)), max_size=25)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(PIECES.map(" ".join) | st.text(max_size=60))
+@example("memory {" * 60)
+@example("a: 1 " * 200)
+def test_any_text_gives_settings_or_complaints(text: str) -> None:
+    """Guards the start: whatever the file holds, the reader says what is wrong with it and does not fail."""
+    reading = read_text(text)
+    assert len(reading.complaints) <= COMPLAINTS_MOST
+    assert reading.complaints or reading.settings.quiet_us > 0
+    assert all(complaint.text for complaint in reading.complaints)
+    message, found = parse(text, Operator)
+    assert bool(found.complaints) == bool(reading.complaints) and (
+        found.complaints or message.IsInitialized()
+    )
+
+
+def test_reading_process_tells_what_the_reader_finds(tmp_path: Path) -> None:
+    path = tmp_path / "operator.textproto"
+    path.write_text("memory { probes: 1 }")
+    assert read_now(str(path)) == read_file(str(path))
+    path.write_text("memory { probes: 0 }")
+    assert read_now(str(path)).complaints == read_file(str(path)).complaints != []
+    assert "cannot be read" in read_now(str(tmp_path / "none")).complaints[0].text
+    path.write_bytes(b"\xff\xfe")
+    assert "UTF-8" in read_file(str(path)).complaints[0].text
+    compiled = tmp_path / "operator.json"
+    compiled.write_bytes(msgspec.json.encode(Reading(Settings(quiet_us=7), [])))
+    assert read_now(str(compiled)).settings.quiet_us == 7
+    compiled.write_text('{"settings": 3}')
+    assert read_compiled(str(compiled)).complaints and read_compiled(str(tmp_path / "no.json")).complaints
+
+
+@pytest.mark.parametrize("name", ["operator/options", "operator/operator", "lab/scenario"])
+def test_generated_schema_is_that_of_its_source(name: str, tmp_path: Path) -> None:
+    command = [sys.executable, "-m", "grpc_tools.protoc", "-I.", f"--python_out={tmp_path}"]
+    subprocess.run([*command, f"larchhaven/{name}.proto"], cwd=ROOT, check=True)
+    made = (tmp_path / "larchhaven" / f"{name}_pb2.py").read_text()
+    assert made == (ROOT / "larchhaven" / f"{name}_pb2.py").read_text()
+
+
+def test_scenario_that_names_what_is_not_there_is_complained_of() -> None:
+    _, complaints = site.load('events { at_seconds: 1 drain: "s9" } terminals { class: "x" }')
+    assert complaints == [
+        "event drain: there is no exam server 's9'",
+        "terminals: there is no class 'x', known are chat",
+        "servers: write at least one group of exam servers",
+    ]
+    assert site.load("seconds: 0")[1] == ["1:10: 'seconds' is 0 s: write 0.5 to 864000 s"]
