--- /dev/null
+++ b/benchmarks/relay.py
@@ -0,0 +1,166 @@
+"""What the memory account costs: line round trips and set-ups with and without it, in turn, in one run.
+
+    python -m benchmarks.relay [--rounds 15] [--json]
+
+Both ways run the real parts in this process: listener, broker, decision module, execution, relay, on loopback
+sockets. Without the account means one whose methods do nothing. Each round times both ways, the order drawn
+anew; the ratio is of the medians of CPU time, which other load on the machine moves less than wall time.
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import json
+import random
+import socket
+import statistics
+import time
+from typing import Any
+
+from larchhaven import interface as api
+from larchhaven.memory.account import Account
+from larchhaven.memory.purposes import Purpose
+from larchhaven.net.broker import Broker, Execution, Outside
+from larchhaven.net.buffers import Pool
+from larchhaven.net.clients import Listener
+from larchhaven.net.executions import TextExecution
+from larchhaven.net.figures import Figures
+from larchhaven.net.loop import Loop
+from larchhaven.net.notices import Notices
+from larchhaven.net.rooms import Rooms
+
+LINES = 1_500
+SETUPS = 250
+
+
+class NoAccount(Account):
+    """Grants all and counts nothing."""
+
+    def take(self, purpose: Purpose, size: int) -> bool:
+        """Grant."""
+        return True
+
+    def must(self, purpose: Purpose, size: int) -> None:
+        """Count nothing."""
+
+    def give(self, purpose: Purpose, size: int) -> None:
+        """Count nothing."""
+
+
+class Way:
+    """One proxy's parts, with an exam server and clients in the same process."""
+
+    def __init__(self, account: Account) -> None:
+        self.loop = loop = Loop()
+        self.pool = pool = Pool(account)
+        settings = api.Settings(
+            classes=(api.RequestClass(aim_us=300_000, deadline_us=2_000_000),), instances=1, index=0,
+            drain_grace_us=3_000_000, cold_us=7_000_000, cold_from=0.33, tip_multiple=2.5,
+            tip_after_us=1_500_000, max_attempts=3, tells_load=True,
+        )  # fmt: skip
+        notices = Notices(loop)
+        self.broker = broker = Broker(loop, notices, settings, 1, Figures.of(["chat"]), account)
+        self.server = socket.create_server(("127.0.0.1", 0), backlog=64)
+        broker.outside = Outside(
+            instances=self,
+            begin=self.begin,
+            probe=lambda host, address: None,
+            close_idle=lambda host: None,
+            watch=lambda on: None,
+            fetch=lambda: None,
+            tell=lambda peer, data: None,
+            identity=lambda identity, on: None,
+            is_open_elsewhere=lambda identity: False,
+        )
+        rooms = Rooms(loop, account, [1.0], 1_000)
+        self.listener = Listener(loop, pool, broker, notices, ("127.0.0.1", 0), {"chat": 0}, 1_000, rooms)
+        self.listener.open()
+        broker.queue(api.FleetList(api.ListKind.COMPLETE, 1, (api.ServerEntry("s0"),)))
+        loop.turn_end = broker.turn
+        self.number = 0
+        self.client, self.instance = self.open()
+
+    def address(self, host: str) -> tuple[str, int]:
+        """Where the exam server is."""
+        address: tuple[str, int] = self.server.getsockname()
+        return address
+
+    def told_at(self, host: str) -> int | None:
+        """It never drains."""
+        return None
+
+    def begin(self, token: int, payload: bytes, address: tuple[str, int], wait_us: int) -> Execution:
+        """Begin an execution."""
+        return TextExecution(self.loop, self.pool, self.broker, token, payload, address, 250_000, wait_us)
+
+    def turns(self, count: int) -> None:
+        """Turn without waiting."""
+        for _ in range(count):
+            self.loop.again()
+            self.loop.turn()
+
+    def open(self) -> tuple[socket.socket, socket.socket]:
+        """Bring up one connection."""
+        self.number += 1
+        client = socket.create_connection(self.listener.address)
+        client.sendall(b"OPEN %016x 7f c=chat,d=2000\r\n" % self.number)
+        self.turns(3)
+        instance, _ = self.server.accept()
+        instance.recv(4096)
+        instance.sendall(b"UP 1\r\n")
+        self.turns(2)
+        assert client.recv(4096) == b"UP 1\r\n"
+        return client, instance
+
+    def lines(self) -> float:
+        """Pass lines both ways; return microseconds of CPU a round trip."""
+        begun = time.process_time()
+        for _ in range(LINES):
+            self.client.sendall(b"question 1\r\n")
+            self.turns(1)
+            self.instance.sendall(self.instance.recv(4096))
+            self.turns(1)
+            self.client.recv(4096)
+        return (time.process_time() - begun) / LINES * 1e6
+
+    def setups(self) -> float:
+        """Bring connections up and end them; return microseconds of CPU each."""
+        begun = time.process_time()
+        for _ in range(SETUPS):
+            client, instance = self.open()
+            client.close()
+            self.turns(2)
+            instance.close()
+            self.turns(1)
+        return (time.process_time() - begun) / SETUPS * 1e6
+
+
+def main() -> None:
+    """Measure and print."""
+    options = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    options.add_argument("--rounds", type=int, default=15)
+    options.add_argument("--json", action="store_true")
+    given = options.parse_args()
+    caps = dict.fromkeys(Purpose, 64 << 20)
+    ways = {"with": Way(Account(caps)), "without": Way(NoAccount(caps))}
+    gc.freeze()
+    figures: dict[str, dict[str, list[float]]] = {what: {w: [] for w in ways} for what in ("lines", "setups")}
+    for _ in range(given.rounds):
+        for name in random.sample(list(ways), 2):
+            figures["lines"][name].append(ways[name].lines())
+            figures["setups"][name].append(ways[name].setups())
+    found: dict[str, Any] = {}
+    for what, both in figures.items():
+        middle = {name: statistics.median(values) for name, values in both.items()}
+        ratio = middle["with"] / middle["without"]
+        found[what] = {**{f"{n}_us": round(v, 2) for n, v in middle.items()}, "ratio": round(ratio, 4)}
+    if given.json:
+        print(json.dumps(found))
+        return
+    for what, row in found.items():
+        print(f"{what}: {row['with_us']} us with, {row['without_us']} us without: {row['ratio']} times")
+
+
+if __name__ == "__main__":
+    main()
