Give the lab peers that babble; test JSON logs and settings read beforehand

Need: the lab had no stand-ins for other proxies, and the JSON log and the reading process's guard at 32 MB were untested. Change: peers in a scenario hear datagrams (over 256 bytes breaks a rule) and send any content. Measured: three peers sending 100 datagrams a second each, rules kept.

--- a/larchhaven/lab/record.py
+++ b/larchhaven/lab/record.py
@@ -16,7 +16,7 @@
     ``move``, ``end`` (the connection ended, ``text`` says how), ``leave`` (the terminal ended it itself); of
     exam servers ``sent`` (a first line came), ``up``, ``turned`` (it refused), ``over`` (the connection
     ended, for whatever cause) and ``born`` (a cold start); of discovery ``told`` (a state was written to a
-    proxy, ``text`` is the state).
+    proxy, ``text`` is the state); of peers ``long`` (a datagram over 256 bytes).
     """
 
     at: int  # microseconds on the monotonic clock
@@ -25,7 +25,7 @@
     server: str = ""
     text: str = ""
     wait: int = 0  # of ``ask``: microseconds that the terminal waits; of ``born``: until it is warm
-    amount: float = 0.0  # of ``born``: the connections it carries when warm
+    amount: float = 0.0  # of ``born``: the connections it carries when warm; of ``long``: bytes
 
 
 def now() -> int:
--- a/larchhaven/lab/rules.py
+++ b/larchhaven/lab/rules.py
@@ -76,7 +76,8 @@
         self._kinds: dict[str, Callable[[Record], None]] = {
             "ask": self._ask, "answer": self._answer, "move": self._move, "end": self._end,
             "leave": self._leave, "sent": self._sent, "up": self._up, "turned": self._over,
-            "over": self._over, "told": self._told, "born": self._born, "left": self._left,
+            "over": self._over, "long": self._long, "told": self._told, "born": self._born,
+            "left": self._left,
         }  # fmt: skip
 
     def take(self, record: Record) -> None:
@@ -210,6 +211,11 @@
             self._break("cold", record.at, f"{record.server} holds {server.holds} while it is cold")
             server.over_since = record.at
 
+    # Peers
+
+    def _long(self, record: Record) -> None:
+        self._break("datagrams", record.at, f"{record.server} got one of {record.amount:.0f} bytes")
+
     # Discovery
 
     def _told(self, record: Record) -> None:
--- a/larchhaven/lab/site.py
+++ b/larchhaven/lab/site.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from larchhaven.lab.discovery import Discovery
+from larchhaven.lab.peers import Peer
 from larchhaven.lab.proxy import Proxy, free_port
 from larchhaven.lab.record import Record, Recorder, now
 from larchhaven.lab.rules import Broken, Checker, Contract
@@ -73,12 +74,13 @@
 def settings(scenario: Scenario, index: int = 0) -> dict[str, Any]:
     """Write the settings that the platform would give a proxy of this site."""
     classes = list(scenario.classes) or [Scenario().classes.add(name="chat")]
+    tier = max(scenario.proxies, 1) + scenario.peers
     return {
         "contract": {
             "answer_slack": 20000, "ask_within": 10000000, "cold": 7100000, "cold_from": 0.33,
             "stop_sending_within": 3000000, "tip_after": 1500000, "tip_multiple": 2.5,
         },
-        "discovery": "subscribe", "family": "conn", "index": index, "instances": max(scenario.proxies, 1),
+        "discovery": "subscribe", "family": "conn", "index": index, "instances": tier,
         "kinds": ["k"], "tick": 5000, "zone": 0, "zones": ["here"], "parties": [], "stages": ["s"],
         "weights": "nominal", "prices": {"moves": 0.016, "probe": 0.002},
         "family_info": {
@@ -88,7 +90,7 @@
         },
         "policy_limits": {
             "cancel": True, "connect_timeout": 250000, "max_retry_after": 1500000, "most_tries": 3,
-            "parallel_tries": False, "probes": True, "retry_after": True, "may_tell": scenario.proxies > 1,
+            "parallel_tries": False, "probes": True, "retry_after": True, "may_tell": tier > 1,
         },
         "report": {"fields": ["x0"], "how": "pull"},
         "services": [
@@ -125,12 +127,16 @@
                 self.servers[name] = ExamServer(name, traits, self.recorder)
         self.discovery = Discovery(self.servers, self.recorder)
         self.proxies: list[Proxy] = []
+        self.peers = [
+            Peer(f"p{i}", self.recorder, stream(scenario.seed, f"peer {i}")) for i in range(scenario.peers)
+        ]
         self._next = 0
         self.terminals = Terminals(self._address, self.recorder, stream(scenario.seed, "terminals"))
         self.samples: list[Sample] = []
         self.sample_taken: Callable[[Sample], None] = lambda sample: None
         self._tasks: list[asyncio.Task[None]] = []
         self._begun = 0.0
+        self._peer_ports: list[int] = []
 
     def _take(self, record: Record) -> None:
         self.checker.take(record)
@@ -153,7 +159,11 @@
         await self.discovery.start()
         grant = self.scenario.grant
         count = max(self.scenario.proxies, 1)
-        peers = [f"127.0.0.1:{free_port()}" for _ in range(count)] if count > 1 else []
+        ports = [free_port() for _ in range(count + len(self.peers))]
+        peers = [f"127.0.0.1:{port}" for port in ports] if len(ports) > 1 else []
+        self._peer_ports = ports[:count]
+        for peer, port in zip(self.peers, ports[count:], strict=True):
+            await peer.start(port)
         for index in range(count):
             configuration: dict[str, Any] = {
                 "name": f"n{index}", "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0",
@@ -176,6 +186,9 @@
         """Have the scripted things happen from now on."""
         for number, group in enumerate(self.scenario.terminals):
             self._spawn(self._arrivals(number, Wishes.of(group), group.from_seconds, group.until_seconds))
+        for peer in self.peers:
+            rate = self.scenario.peer_datagrams_per_second
+            self._spawn(peer.babble(rate, lambda: [("127.0.0.1", port) for port in self._peer_ports]))
         for event in sorted(self.scenario.events, key=lambda event: event.at_seconds):
             self._spawn(self._at(event.at_seconds, event))
 
@@ -290,6 +303,8 @@
         codes = await asyncio.gather(*(proxy.end() for proxy in self.proxies))
         for server in self.servers.values():
             await server.stop(reset=True)
+        for peer in self.peers:
+            peer.stop()
         crashed += [
             p.name for p, code in zip(self.proxies, codes, strict=True) if code and p.name not in crashed
         ]
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -138,7 +138,7 @@
         while "listens" not in found:
             line = self.process.stderr.readline()
             assert line, "the program did not start"
-            if match := re.search(r"(listens|management) at (.*):(\d+)", line):
+            if match := re.search(r"(listens|management) at ([\d.]+):(\d+)", line):
                 found[match.group(1)] = match.group(2), int(match.group(3))
         self.address, self.management = found["listens"], found["management"]
 
--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -3,19 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import signal
 import socket
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 
 from larchhaven.lab.site import Outcome, load, play
 from larchhaven.memory.account import Account
 from larchhaven.memory.purposes import IDENTITY, Purpose
+from larchhaven.net import logs
 from larchhaven.net.handover import Handover
 from larchhaven.net.loop import Loop
 from larchhaven.net.notices import Notices
+from larchhaven.net.operator_file import READER_BYTES, OperatorFile
 from larchhaven.net.suspensions import Suspensions
+from larchhaven.operator.read import read_text
+from larchhaven.operator.settings import Reading
 from tests.rig import Proxy, opening
 
 USUAL = """
@@ -126,6 +133,44 @@
     assert outcome.log_lines >= 3
 
 
+def test_log_in_json_has_the_same_keys_on_every_line(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+    path = tmp_path / "operator.textproto"
+    path.write_text("log { form: JSON }")
+    monkeypatch.setenv("EDGE_OPERATOR", str(path))
+    made = Proxy(tmp_path)
+    bad = made.client("NONSENSE \x1b[2J")
+    assert bad.line() == "ERR"
+    path.write_text("log { form: JSN }")
+    made.process.send_signal(signal.SIGHUP)
+    lines = [json.loads(made.log_line())]
+    while "operators' file not reloaded" not in lines[-1]["detail"]:
+        lines.append(json.loads(made.log_line()))
+    assert ":1:13: 'log.form' has no value 'JSN': write JSON" in lines[-1]["detail"]
+    path.write_text("log { form: TEXT }")
+    made.process.send_signal(signal.SIGHUP)
+    while "operators' file reloaded" not in (line := made.log_line()):
+        assert line, "the log ended"
+    assert made.call("GET", "/v1/metrics")[1]["config_reload_errors"] == 1
+    assert "Traceback" not in made.close()
+    assert all(tuple(line) == logs.KEYS for line in lines)
+    assert lines[0]["event"] == "bad first line" and "\x1b" not in lines[0]["detail"]
+
+
+def test_reading_needs_room_and_settings_read_beforehand_do_not(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path
+) -> None:
+    """Guards a grant of 32 MB: the process that reads the file would pass it."""
+    done: list[Reading] = []
+    path = tmp_path / "operator.textproto"
+    path.write_text("memory { }")
+    OperatorFile(Loop(), str(path), done.append).read(READER_BYTES - 1)
+    assert "write it as .json with 'larchhaven check --write'" in done[0].complaints[0].text
+    compiled = tmp_path / "operator.json"
+    compiled.write_bytes(msgspec.json.encode(read_text("memory { log: 1 }")))
+    OperatorFile(Loop(), str(compiled), done.append).read(0)
+    assert done[1].settings.caps == {"log": 1 << 20} and not done[1].complaints
+
+
 def test_management_counts_callers_that_give_way(proxy: Proxy) -> None:
     callers = [socket.create_connection(proxy.management) for _ in range(30)]
     for caller in callers:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -51,6 +51,7 @@
             [r(0, "sent", "s0"), r(1, "sent", "s1"), r(2, "sent", "s2")],
             "one execution",
         ),
+        ([Record(0, "long", server="p0", amount=300)], "datagrams"),
     ],
 )
 def test_checker_catches_what_breaks_a_rule_and_nothing_else(records: list[Record], rule: str | None) -> None:
@@ -99,8 +100,9 @@
         'events { at_seconds: 2 hang: "s2" }',
         "proxies: 2 events { at_seconds: 1 discovery_down: true }",
         "events { at_seconds: 2 reconnect_all: true } events { at_seconds: 4 surge: 60 }",
+        "peers: 3 peer_datagrams_per_second: 100 pass_through: true",
     ],
-    ids=["drain", "crash", "hang", "discovery", "reconnect"],
+    ids=["drain", "crash", "hang", "discovery", "reconnect", "peers"],
 )
 def test_rules_hold_on_a_scripted_day(more: str) -> None:
     scenario, complaints = load(DAY + more)
