--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -82,6 +82,7 @@
 HELD, ASKED, STARTED, LEARNT = b"H", b"Q", b"S", b"L"
 # So many bytes of a connection's key, hashed, and of its server's id are an entry; so many fit in a message.
 TAG, MARK, TOLD_MOST = 4, 2, 42
+RECENT_MOST = 512  # own changes that a report may not hold yet; more do not fit in its lag
 # A mid-flow connection that nobody here knows waits so long for another instance to tell where it stands.
 ASK_US = 100_000
 # A failed subscription is asked for again after this part of ask_within, doubling up to the whole.
@@ -143,7 +144,7 @@
     relief_at: int = 0  # no probe for a jam before
     moved_until: int = 0  # moves from here do not show yet
     own: float = 0.0  # own load added since that report
-    recent: list[tuple[int, float]] = field(default_factory=list)
+    recent: deque[tuple[int, float]] = field(default_factory=lambda: deque(maxlen=RECENT_MOST))
     eject_span: int = 0
     ejected_until: int = -PROVEN_US
     warm_at: int = 0
@@ -607,7 +608,7 @@
         self.ratio_weight += server.weight
         server.ratio, server.report_at = ratio, self.now
         seen = self.now - REPORT_LAG_US - latency_us
-        server.recent = [change for change in server.recent if change[0] > seen]
+        server.recent = deque((change for change in server.recent if change[0] > seen), RECENT_MOST)
         own = sum(load for _, load in server.recent)
         server.own, self.unseen = own, self.unseen - server.own + own
         self._reorder(server)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -9,7 +9,7 @@
 import pytest
 
 from larchhaven import interface as api
-from larchhaven.choice import STARTED, Balancer
+from larchhaven.choice import RECENT_MOST, STARTED, Balancer
 from tests.world import PLAIN, START, arrival, balancer, ended, entries, fleet, of, report
 
 
@@ -544,3 +544,15 @@
     b.handle(START + 1, [api.FleetList(api.ListKind.CHANGES, 2, gone)])
     sent = of(api.Send, b.handle(START + 2, [arrival(i, load=0.01) for i in range(20)]))
     assert {send.server for send in sent} == {"s3"}
+
+
+def test_own_changes_are_bounded_where_no_report_ever_comes() -> None:
+    """Guards memory: each connection left three entries for good at a server that tells no load."""
+    made = balancer(1)
+    for request in range(2_000):
+        now = START + request
+        assert of(api.Send, made.handle(now, [arrival(request)]))
+        made.handle(now, [api.Established(request, 0, "s0", 1000)])
+        made.handle(now, [ended(request, 0, "s0", api.Result.OK, finished=True)])
+    server = made.fleet["s0"]
+    assert len(server.recent) == RECENT_MOST and abs(server.own) < 1e-6
