End the proxy of the JSON log test even if the test fails on its way

Cause: a run that failed before its last line left its proxy running. Change: the process is ended by a finalizer. Measured: no process of ours is left after the test.

--- a/tests/test_caps.py
+++ b/tests/test_caps.py
@@ -133,11 +133,14 @@
     assert outcome.log_lines >= 3
 
 
-def test_log_in_json_has_the_same_keys_on_every_line(monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+def test_log_in_json_has_the_same_keys_on_every_line(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, request: pytest.FixtureRequest
+) -> None:
     path = tmp_path / "operator.textproto"
     path.write_text("log { form: JSON }")
     monkeypatch.setenv("EDGE_OPERATOR", str(path))
     made = Proxy(tmp_path)
+    request.addfinalizer(made.process.kill)  # also if the test fails on its way
     bad = made.client("NONSENSE \x1b[2J")
     assert bad.line() == "ERR"
     path.write_text("log { form: JSN }")
