Pace calls for the list by the number of proxies, so that all forty get it

Ruled out: the watch itself (those that had one got every change at once, and its renewal was never refused) and the list's size (12 entries). Cause: `handle` spread the first calls over a tenth of ask_within (1 s) and `_on_list` the later ones over 0.3 to 10 s, whatever the number of proxies. A failed call uses up the service's time all the same, so 25 proxies calling once in 3 s kept it busy for good with calls that had failed.

Change: both spans are at least 125 ms for each proxy; for eight proxies and fewer nothing changes.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -85,8 +85,9 @@
 RECENT_MOST = 512  # own changes that a report may not hold yet; more do not fit in its lag
 # A mid-flow connection that nobody here knows waits so long for another instance to tell where it stands.
 ASK_US = 100_000
-# A failed subscription is asked for again after this part of ask_within, doubling up to the whole.
-ASK_SHARE = 0.1
+# A failed subscription is asked for again after this part of ask_within, doubling up to the whole. All calls
+# leave the list service this long for each instance, or forty keep it too busy to answer any.
+ASK_SHARE, ASK_EACH_US = 0.1, 125_000
 
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
 SHARED_FAULTS = (Result.ERROR, Result.TIMEOUT)
@@ -174,6 +175,7 @@
         self.class_load = [FIRST_LOAD] * len(settings.classes)
         self.learnt = struct.Struct(f"<{3 + len(self.class_load)}d")  # what one that takes over is told
         self.ask_span = 0
+        self.calm = max(int(ASK_SHARE * settings.ask_within_us), ASK_EACH_US * settings.instances)
         self.failures = 0  # set-ups that failed since one last stood
         self.gate_at = 0  # no set-up before
         self.arrivals: deque[int] = deque()
@@ -205,7 +207,7 @@
             self.started = True
             if self.settings.subscribe:
                 # Instances that start together must not call the list service in step.
-                self._after(self.rng.random() * ASK_SHARE * self.settings.ask_within_us, self._subscribe)
+                self._after(self.rng.random() * self.calm, self._subscribe)
             if self.tells:
                 self.actions.append(api.Tell((self.settings.index - 1) % self.settings.instances, STARTED))
         for event in events:
@@ -500,8 +502,8 @@
 
     def _on_list(self, event: api.FleetList) -> None:
         if event.kind is ListKind.FAILED:
-            most = self.settings.ask_within_us
-            self.ask_span = min(max(2 * self.ask_span, int(ASK_SHARE * most)), most)
+            most = max(self.settings.ask_within_us, self.calm)
+            self.ask_span = min(max(2 * self.ask_span, self.calm), most)
             self._after(self.ask_span * (0.5 + self.rng.random()) / 1.5, self._subscribe)
             return
         self.ask_span = 0
