Share one look at each server among many proxies; draw near ties of a group alike

Seen, counted over all proxies from event traces. (3) members of a group went to different servers, each of which pays for the group once.

Change: unseen load counts for four proxies at most; from 12 proxies on `sharing/lookout.py` (pure) deals the looks out and tells the others what has changed; from 8 on the draw within the near-tie band is weighted rendezvous of group and server. Smaller tiers are as before.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -20,43 +20,34 @@
 from larchhaven import interface as api
 from larchhaven.interface import Effect, ListKind, Result, Scope, State
 
-# A report shows a server as it was this long before it arrived; own changes since then are added to it.
-# The wire tells no ages; load reporters refresh about once a second, so this is half of that and transport.
+# A report shows a server as it was this long before it arrived: half a refresh, and transport.
 REPORT_LAG_US = 800_000
 # Points of service (as a fraction) that each request may spend on probes; the settings give the price of one.
 PROBE_SPEND = 0.006
-# Bounds of probes for each request, for prices that are nothing or prohibitive.
-PROBES_LEAST, PROBES_MOST = 1, 8
-# Load of a connection before any hint or note has told: about 25 to a standard core.
-FIRST_LOAD = 0.04
-# Weight of a new sample in learned means.
-LEARN = 0.05
-# The rate of arrivals is counted over this span, several report lags long, so that bursts show in it.
-RATE_SPAN_US = 5_000_000
+PROBES_LEAST, PROBES_MOST = 1, 8  # for each request, should the price be nothing or prohibitive
+FIRST_LOAD = 0.04  # load of a connection before any hint or note has told: about 25 to a standard core
+LEARN = 0.05  # weight of a new sample in learned means
+RATE_SPAN_US = 5_000_000  # arrivals are counted over several report lags, so that bursts show
 # A report loses half of what it tells in this time, and the ranking is made anew; its head is kept fresher.
 STALE_US = 10_000_000
 HEAD, HEAD_FRESH_US = 8, 1_000_000
 # A server of another zone stands higher by this multiple of the price of a crossing, so that near-ties stay.
 ZONE_BAND = 3
-# From this multiple of the mean load on, a connection's own load counts in the ratios.
-HEAVY = 2.0
+HEAVY = 2.0  # from this multiple of the mean load on, a connection's own load counts in the ratios
 # Added to the ratio of a server that said it is full or whose messages are slow, for so long after it did.
 FULL_RATIO = 1.0
 SLOW_US = 2_000_000
-# A request waits for the probes made for it for this part of its set-up aim at most.
-PROBE_WAIT = 0.2
+PROBE_WAIT = 0.2  # a request waits for the probes made for it for this part of its set-up aim at most
 # An attempt leaves the set-up aim for another try, or this part of the time left when that is shorter.
 TRY_SHARE = 0.5
-# A request without a ready server is looked at again this often, in parts of its set-up aim.
-HOLD_SHARE = 0.25
+HOLD_SHARE = 0.25  # a request without a ready server is looked at this often, in parts of its set-up aim
 # All instances together fill a cold server this many times as fast as its present capacity in its warm-up.
 COLD_FILL = 2.0
 # First time out of an ejected server, the most it doubles to, and how long until the next is a first one.
 EJECT_US = 2_000_000
 EJECT_MOST_US = 30_000_000
 PROVEN_US = 10_000_000
-# With more than this part of the fleet ejected the cause is shared, and ejection is not heeded.
-EJECT_PART = 0.5
+EJECT_PART = 0.5  # with more of the fleet ejected the cause is shared, and ejection is not heeded
 # From so many failed set-ups in a row on, they are paced: by these multiples of the shortest set-up aim.
 GATE_AFTER = 2
 GATE_SHARE, GATE_MOST = 0.5, 8
@@ -70,21 +61,21 @@
 # flooded, at most so many times as fast as new ones usually come, but within so many times the grace.
 DRAIN_RUSH = 4.0
 DRAIN_MOST = 2.0
-# An instance that stops moves its connections within this part of the time left to it.
-LEAVE_SHARE = 0.8
-# A report above this is of a jam, where ratios run to many times the load; it counts as this much.
-SATURATED = 2.0
+LEAVE_SHARE = 0.8  # an instance that stops moves its connections within this part of the time left to it
+SATURATED = 2.0  # a report above this is of a jam and counts as this much: ratios run beyond the load
 # Between these ratios of the whole fleet arrivals are refused, those of the least worth for their load first.
 REFUSE_FROM = 0.6
 REFUSE_ALL = 0.85
+# So many instances, at most, are taken to hold what this one does unseen: times forty one heavy connection
+# would look like a full fleet. From so many on the near ties of a group are drawn alike at all of them.
+SPEAKS_FOR, MANY, MIX = 4, 8, 0x9E3779B97F4A7C15
 DENSITIES = 32  # what an arrival is worth is ranked among so many before it
 # Messages between instances: where connections stand, who knows of one, that one has started, what it learnt.
 HELD, ASKED, STARTED, LEARNT = b"H", b"Q", b"S", b"L"
 # So many bytes of a connection's key, hashed, and of its server's id are an entry; so many fit in a message.
 TAG, MARK, TOLD_MOST = 4, 2, 42
 RECENT_MOST = 512  # own changes that a report may not hold yet; more do not fit in its lag
-# A mid-flow connection that nobody here knows waits so long for another instance to tell where it stands.
-ASK_US = 100_000
+ASK_US = 100_000  # a mid-flow connection unknown here waits so long for others to tell where it stands
 # A failed subscription is asked for again after this part of ask_within, doubling up to the whole. All calls
 # leave the list service this long for each instance, or forty keep it too busy to answer any.
 ASK_SHARE, ASK_EACH_US = 0.1, 125_000
@@ -109,6 +100,7 @@
     load: float
     tag: bytes = b""  # of its key, if it has one
     midflow: bool = False
+    group: int | None = None  # hashed
     at: str | None = None  # the only server that will do
     attempts: int = 0
     out: int | None = None  # the attempt that is out, if any
@@ -240,7 +232,8 @@
         cls = min(max(event.cls, 0), len(self.settings.classes) - 1)
         load = self.class_load[cls] if event.load is None else event.load
         tag = b"" if event.key is None else _short(str(event.key), TAG)
-        conn = Conn(event.request, cls, self.now + event.budget_us, load, tag, event.midflow, event.at)
+        group = None if event.group is None else crc32(str(event.group).encode())
+        conn = Conn(event.request, cls, self.now + event.budget_us, load, tag, event.midflow, group, event.at)
         self.conns[conn.id] = conn
         return conn
 
@@ -260,7 +253,7 @@
         server = self._holder(conn)
         if server is None and conn.at is None and self.now >= self.gate_at:
             near, shares = self._band(conn)
-            server = self.rng.choices(near, shares)[0] if near else None
+            server = self._draw(conn, near, shares) if near else None
         if (
             server is None
             and (conn.tried or self.suspended)
@@ -744,6 +737,14 @@
         shares = [max(level - r, 1e-9) * s.weight for r, s in zip(ratios, near, strict=True)]
         return near, shares
 
+    def _draw(self, conn: Conn, near: Sequence[Server], shares: Sequence[float]) -> Server:
+        """Draw from the band by its shares; in a large tier alike for all of a group, as these share work."""
+        if conn.group is None or self.settings.instances < MANY:
+            return self.rng.choices(near, shares)[0]
+        # Weighted rendezvous: over all groups a server wins by its share; CRCs alone would favour a few.
+        points = [((crc32(s.mark, conn.group) * MIX >> 32) % 2**32 + 0.5) / 2**32 for s in near]
+        return max(zip(points, shares, near, strict=True), key=lambda p: p[1] / -math.log(p[0]))[2]
+
     def _expected_from_others(self) -> float:
         """Load that the other instances place within the time that a report lags, were they like this one."""
         self._drop_arrivals()
@@ -787,7 +788,7 @@
 
     def _fleet_ratio(self) -> float:
         """Load over capacity of the whole fleet, by the median where few jammed servers raise the mean."""
-        unseen = self.settings.instances * self.unseen / self.weight if self.weight else 0.0
+        unseen = min(self.settings.instances, SPEAKS_FOR) * self.unseen / self.weight if self.weight else 0.0
         told = sorted(s.ratio for s in self.fleet.values() if s.ratio is not None)
         return min(self._mean(), told[len(told) // 2] if told else 0.0) + unseen
 
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -20,6 +20,7 @@
 from larchhaven.net.loop import Deadline, Loop
 from larchhaven.net.notices import Notices
 from larchhaven.net.slots import Slots
+from larchhaven.sharing.lookout import REPORTS, Lookout, is_shared
 
 # A delay note is sent at most this often for each instance.
 NOTE_US = 1_000_000
@@ -136,7 +137,10 @@
         self._loop = loop
         self._notices = notices
         self._settings = settings
-        self._balancer = Balancer(settings, seed)
+        # In a large tier the lookout decides which proxy probes which instance.
+        self._lookout = Lookout(settings) if is_shared(settings) else None
+        self._look: Deadline | None = None
+        self._balancer = Balancer(replace(settings, can_probe=False) if self._lookout else settings, seed)
         self._events: list[api.Event] = []
         self._figures = figures
         self._outcomes = figures.outcomes()
@@ -205,11 +209,40 @@
         if not self._events:
             return
         events, self._events = self._events, []
+        if self._lookout is not None:
+            events = self._share(self._lookout, events)
         for action in self._balancer.handle(self._loop.now, events):
             self._handlers[type(action)](action)
         if self._events:
             self._loop.again()  # some actions end at once; their events must not wait for a socket
 
+    def _share(self, lookout: Lookout, events: list[api.Event]) -> list[api.Event]:
+        """Have the lookout see what concerns it, and add what other proxies have found."""
+        kept: list[api.Event] = []
+        now = self._loop.now
+        for event in events:
+            if isinstance(event, api.PeerMessage) and event.data[:1] == REPORTS:
+                kept += lookout.on_told(now, event.data)
+                self._figures.strange_messages = lookout.strange
+                continue
+            kept.append(event)
+            if isinstance(event, api.FleetList):
+                lookout.on_list(now, event)
+            elif isinstance(event, api.ProbeResult):
+                for tell in lookout.on_look(now, event):
+                    self.outside.tell(tell.peer, tell.data)
+        if lookout.due is not None and (self._look is None or self._look.at != lookout.due):
+            self._loop.cancel(self._look)
+            self._look = self._loop.after(lookout.due - now, self._begin_looks)
+        return kept
+
+    def _begin_looks(self) -> None:
+        if self._lookout is not None:
+            for probe in self._lookout.turn(self._loop.now):
+                self._ask(probe.server)
+            if self._lookout.due is not None:
+                self._look = self._loop.after(self._lookout.due - self._loop.now, self._begin_looks)
+
     # Service clients
 
     def refuses_identity(self, wants: Wants) -> bool:
@@ -460,11 +493,17 @@
             command.session.move()
 
     def _do_probe(self, action: api.Probe) -> None:
-        address = self.outside.instances.address(action.server)
-        if address is None:
+        if self._lookout is None or self._lookout.wants(action.server):
+            self._ask(action.server)
+        elif not self._lookout.knows(action.server):
             self.queue(api.ProbeResult(action.server, api.Result.NOT_SENT, 0))
+
+    def _ask(self, host: str) -> None:
+        address = self.outside.instances.address(host)
+        if address is None:
+            self.queue(api.ProbeResult(host, api.Result.NOT_SENT, 0))
         else:
-            self.outside.probe(action.server, address)
+            self.outside.probe(host, address)
 
     def _do_timer(self, action: api.SetTimer) -> None:
         event = api.TimerFired(action.token)
--- a/larchhaven/net/figures.py
+++ b/larchhaven/net/figures.py
@@ -25,6 +25,7 @@
     members_unavailable: int = 0
     config_reloads: int = 0
     config_reload_errors: int = 0
+    strange_messages: int = 0  # of other proxies, or entries in them, that could not be used
 
     @classmethod
     def of(cls, classes: Sequence[str]) -> Figures:
--- /dev/null
+++ b/larchhaven/sharing/lookout.py
@@ -0,0 +1,163 @@
+"""One look at each server for the whole tier: who probes it and when, and what the others are told of it.
+
+In a tier of forty each proxy sees few arrivals: were each to probe for itself, as few proxies do, it would
+know the loads seconds late. Here the servers are dealt out. The first in a server's order of proxies probes
+it steadily and tells all others what has changed; the next in the order steps in once nothing has been heard
+of the server for a while, so that nobody needs to know who is alive. What a proxy is told is a hint: it is
+taken only for servers that its own list names as ready.
+
+Times are microseconds. An entry on the wire is a server's mark and its load over capacity in steps.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from zlib import crc32
+
+from larchhaven import interface as api
+
+# Messages of this kind are ours; the rest of a message is entries.
+REPORTS = b"R"
+ENTRY = struct.Struct(">HB")
+# Loads over capacity are told in these steps; the last two values are no loads.
+STEP = 0.02
+MOST, FAILED = 253, 255
+# From so many proxies on looks are shared: below, each meets each server often enough by itself.
+SHARED_FROM = 12
+# The time between two looks of the same proxy at a server, as reports are refreshed about once a second.
+LOOK_US = 1_000_000
+# A change of at least this much is told at once, a smaller one only after the second time.
+CHANGE = 0.1
+QUIET_US = 5_000_000
+# The next proxy in a server's order steps in after so much silence, and each further one so much later.
+SILENT_US = 5_500_000
+RANK_US = 250_000
+
+
+@dataclass(slots=True)
+class _Seen:
+    """What is known of one server."""
+
+    mark: int
+    rank: int  # this proxy's place in the server's order
+    due: int  # when this proxy looks at it next
+    told: float = -1.0  # load over capacity as last told by anybody
+    told_at: int = 0
+    looking: bool = False
+    failed: bool = False  # as last told
+
+
+def is_shared(settings: api.Settings) -> bool:
+    """Tell whether looks are shared: where proxies may probe and talk, and are many."""
+    return settings.can_probe and settings.can_tell and settings.instances >= SHARED_FROM
+
+
+class Lookout:
+    """One proxy's part: events and a time in, actions out, and news for the decision module."""
+
+    def __init__(self, settings: api.Settings) -> None:
+        self._settings = settings
+        self._servers: dict[str, _Seen] = {}
+        self._marks: dict[int, str] = {}
+        self.due: int | None = None  # when ``turn`` is to be called next
+        self.strange = 0  # entries and messages that could not be used
+
+    def wants(self, server: str) -> bool:
+        """Tell whether to begin a look at a server now; one that is under way serves."""
+        seen = self._servers.get(server)
+        if seen is None or seen.looking:
+            return False
+        seen.looking = True
+        return True
+
+    def knows(self, server: str) -> bool:
+        """Tell whether the server is on the own list, and ready."""
+        return server in self._servers
+
+    def on_list(self, now: int, news: api.FleetList) -> None:
+        """Take which servers there are; none is looked at that the own list does not name as ready."""
+        if news.kind is api.ListKind.FAILED:
+            return
+        if news.kind is not api.ListKind.CHANGES:
+            named = {entry.server for entry in news.entries}
+            for server in [s for s in self._servers if s not in named]:
+                self._drop(server)
+        for entry in news.entries:
+            if entry.state is not api.State.READY:
+                self._drop(entry.server)
+            elif entry.server not in self._servers:
+                mark = crc32(entry.server.encode()) >> 16
+                rank = (self._settings.index - mark) % self._settings.instances
+                self._servers[entry.server] = _Seen(mark, rank, now + rank * RANK_US)
+                self._marks[mark] = entry.server
+        self._plan()
+
+    def _drop(self, server: str) -> None:
+        seen = self._servers.pop(server, None)
+        if seen is not None and self._marks.get(seen.mark) == server:
+            del self._marks[seen.mark]
+
+    def on_look(self, now: int, result: api.ProbeResult) -> list[api.Tell]:
+        """Take what an own look has found, and tell the others if it is news to them."""
+        seen = self._servers.get(result.server)
+        if seen is None:
+            return []
+        seen.looking = False
+        seen.due = now + LOOK_US
+        self._plan()
+        if result.result is not api.Result.OK:
+            if result.result in (api.Result.NOT_SENT, api.Result.CANCELLED):
+                return []
+            news, again = FAILED, seen.failed
+        else:
+            report = result.report or api.Report()
+            ratio = report.utilization if report.ratio is None else report.ratio
+            if ratio is None:
+                return []
+            news = min(max(round(ratio / STEP), 0), MOST)
+            again = not seen.failed and abs(news * STEP - seen.told) < CHANGE
+            seen.told = seen.told if again else news * STEP
+        if again and now < seen.told_at + QUIET_US:
+            return []
+        seen.failed, seen.told_at = news == FAILED, now
+        if not seen.failed:
+            seen.told = news * STEP
+        return [api.Tell(None, REPORTS + ENTRY.pack(seen.mark, news))]
+
+    def on_told(self, now: int, data: bytes) -> list[api.ProbeResult]:
+        """Take what another proxy has found; what cannot be used is counted and passed over."""
+        body = data[1:]
+        if len(body) % ENTRY.size or not body:
+            self.strange += 1
+            return []
+        found = []
+        for mark, news in ENTRY.iter_unpack(body):
+            server = self._marks.get(mark)
+            if server is None or MOST < news < FAILED:
+                self.strange += 1  # not on the own list, perhaps not yet
+                continue
+            seen = self._servers[server]
+            seen.told_at, seen.failed = now, news == FAILED
+            seen.due = max(seen.due, now + SILENT_US + seen.rank * RANK_US)
+            if seen.failed:
+                found.append(api.ProbeResult(server, api.Result.RESET, 0))
+            else:
+                seen.told = news * STEP
+                found.append(api.ProbeResult(server, api.Result.OK, 0, api.Report(ratio=seen.told)))
+        self._plan()
+        return found
+
+    def turn(self, now: int) -> list[api.Probe]:
+        """Begin the looks that are due."""
+        begun: list[api.Probe] = []
+        for server, seen in self._servers.items():
+            if seen.due <= now:
+                seen.due = now + LOOK_US
+                if self.wants(server):
+                    begun.append(api.Probe(server))
+        self._plan()
+        return begun
+
+    def _plan(self) -> None:
+        self.due = min((seen.due for seen in self._servers.values()), default=None)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import heapq
+from collections import Counter
+from collections.abc import Sequence
 from dataclasses import replace
+from zlib import crc32
+
+from hypothesis import given
+from hypothesis import strategies as st
 
 from larchhaven import interface as api
 from larchhaven.choice import Balancer
+from larchhaven.sharing.lookout import ENTRY, REPORTS, Lookout, is_shared
 
-from .world import PLAIN, START
+from .world import PLAIN, START, arrival, balancer, fleet, of, report
 
 SERVE_US, WAIT_MOST_US = 133_000, 2_000_000
 
@@ -40,3 +47,131 @@
                     told.add(i)
     assert len(told) == 40
     assert failed <= 4
+
+
+def _many(count: int = 40, **changes: object) -> api.Settings:
+    settings = replace(PLAIN, instances=count, can_probe=True, can_tell=True)
+    return replace(settings, **changes)  # type: ignore[arg-type]
+
+
+def test_one_heavy_connection_does_not_look_like_a_full_fleet() -> None:
+    """Guards admission: what one of forty had placed was counted forty times, and an idle fleet refused."""
+    b = balancer(10, instances=40)
+    b.handle(START, [report(i, 0.1) for i in range(10)])
+    b.handle(START + 1, [arrival(n, load=0.05) for n in range(4)])
+    worthless = api.Arrival(9, 0, 1_200_000, load=0.4)
+    assert of(api.Refuse, b.handle(START + 2, [worthless])) == []
+
+
+def test_forty_draw_one_server_for_a_group_and_all_servers_for_many() -> None:
+    """Guards the work that a group shares: each server that held one of it paid for the whole group.
+
+    Drawn by CRCs alone, 20 groups once went to three servers of ten.
+    """
+    tier = [balancer(10, seed=i, instances=40, index=i) for i in range(40)]
+    drawn = Counter[str]()
+    for group in range(20):
+        one = set()
+        for b in tier:
+            b.handle(START, [report(i, 0.3) for i in range(10)])
+            given = api.Arrival(group, 0, 1_200_000, load=0.01, group=group)
+            one.add(of(api.Send, b.handle(START + 1, [given]))[0].server)
+            b.handle(START + 1, [api.ClientGone(group)])
+        drawn.update(one)
+        assert len(one) <= 3  # ratios differ a little by what each has placed itself
+    assert len(drawn) >= 8
+
+
+class _Tier:
+    """Lookouts that hear each other at once, and servers that answer at once."""
+
+    def __init__(self, count: int, servers: Sequence[str]) -> None:
+        self.all = [Lookout(replace(_many(count), index=i)) for i in range(count)]
+        self.ratios = dict.fromkeys(servers, 0.5)
+        self.dead: set[int] = set()
+        self.probes: Counter[str] = Counter()
+        self.told = 0
+        entries = tuple(api.ServerEntry(s) for s in servers)
+        for one in self.all:
+            one.on_list(START, api.FleetList(api.ListKind.COMPLETE, 1, entries))
+        self.heard: dict[int, list[api.ProbeResult]] = {i: [] for i in range(count)}
+
+    def play(self, since: int, until: int) -> None:
+        for now in range(since, until, 50_000):
+            for i, one in enumerate(self.all):
+                for probe in one.turn(now) if i not in self.dead else ():
+                    self.probes[probe.server] += 1
+                    ratio = self.ratios[probe.server]
+                    result = api.Result.OK if ratio >= 0 else api.Result.TIMEOUT
+                    found = api.ProbeResult(probe.server, result, 0, api.Report(ratio=ratio))
+                    for tell in one.on_look(now, found):
+                        self._tell(now, i, tell.data)
+
+    def _tell(self, now: int, teller: int, data: bytes) -> None:
+        assert len(data) <= 256
+        self.told += 1
+        for i, other in enumerate(self.all):
+            if i != teller and i not in self.dead:
+                self.heard[i] += other.on_told(now, data)
+
+
+def test_looks_do_not_grow_with_the_tier_and_changes_reach_all() -> None:
+    """Guards the price of probes and messages, and against what each proxy learnt alone and late."""
+    servers = [f"s{i}" for i in range(12)]
+    tier = _Tier(40, servers)
+    tier.play(START, START + 10_000_000)
+    assert all(count <= 12 for count in tier.probes.values())  # about one a second, not forty
+    told = tier.told
+    assert told <= 12 * 4  # steady loads are told now and then only
+    tier.ratios["s3"] = 1.5
+    tier.ratios["s7"] = -1
+    tier.play(START + 10_000_000, START + 11_100_000)
+    assert tier.told <= told + 12 + 2
+    for i, heard in tier.heard.items():
+        last = {news.server: news for news in heard}
+        if (i - (crc32(b"s3") >> 16)) % 40:  # the others than the one who looks
+            assert last["s3"].report is not None and last["s3"].report.ratio == 1.5
+        if (i - (crc32(b"s7") >> 16)) % 40:
+            assert last["s7"].result is api.Result.RESET
+
+
+def test_others_step_in_for_proxies_that_are_gone() -> None:
+    """Guards the days on which most proxies are killed at once: no server may be left without a look."""
+    tier = _Tier(40, ["a", "b", "c"])
+    tier.play(START, START + 3_000_000)
+    tier.dead = {i for i in range(40) if i % 10 < 7}
+    tier.probes.clear()
+    tier.play(START + 3_000_000, START + 14_000_000)
+    assert all(tier.probes[s] >= 3 for s in ("a", "b", "c"))
+    assert sum(tier.probes.values()) <= 3 * 14
+
+
+@given(st.binary(max_size=300))
+def test_strange_messages_are_counted_and_change_nothing(body: bytes) -> None:
+    """Guards against malformed, foreign and forged messages: only listed servers are believed in."""
+    one = Lookout(_many())
+    one.on_list(START, fleet(3))
+    before = one.strange
+    found = one.on_told(START + 1, REPORTS + body)
+    entries = len(body) // ENTRY.size if len(body) % ENTRY.size == 0 else 0
+    assert len(found) + one.strange - before == max(entries, 1)
+    assert {news.server for news in found} <= {"s0", "s1", "s2"}
+
+
+def test_looks_are_shared_only_by_many_that_may_probe_and_talk() -> None:
+    """Guards small tiers, and platforms that forbid talk: nothing may be sent there."""
+    assert is_shared(_many())
+    assert not is_shared(_many(4))
+    assert not is_shared(_many(can_tell=False))
+    assert not is_shared(_many(can_probe=False))
+
+
+def test_what_has_left_the_list_is_neither_looked_at_nor_believed() -> None:
+    """Guards the rule that only the own list names servers."""
+    one = Lookout(_many(12))
+    one.on_list(START, fleet(2))
+    draining = api.ServerEntry("s0", api.State.DRAINING)
+    one.on_list(START + 1, api.FleetList(api.ListKind.CHANGES, 2, (draining,)))
+    assert {probe.server for probe in one.turn(START + 60_000_000)} == {"s1"}
+    mark = crc32(b"s0") >> 16
+    assert one.on_told(START + 2, REPORTS + ENTRY.pack(mark, 10)) == []
