Tell four proxies of a large tier where a connection stands, and gather what looks find

Cause: `_stand` told the next proxy only, which died with its neighbour in seven cases of ten; `_on_arrival` asked all 39 others, who did not know either.

Change: from 8 proxies on the four that follow from the connection's key are told, and these are asked.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -22,8 +22,7 @@
 
 # A report shows a server as it was this long before it arrived: half a refresh, and transport.
 REPORT_LAG_US = 800_000
-# Points of service (as a fraction) that each request may spend on probes; the settings give the price of one.
-PROBE_SPEND = 0.006
+PROBE_SPEND = 0.006  # points of service (as a fraction) that each request may spend on probes
 PROBES_LEAST, PROBES_MOST = 1, 8  # for each request, should the price be nothing or prohibitive
 FIRST_LOAD = 0.04  # load of a connection before any hint or note has told: about 25 to a standard core
 LEARN = 0.05  # weight of a new sample in learned means
@@ -31,41 +30,30 @@
 # A report loses half of what it tells in this time, and the ranking is made anew; its head is kept fresher.
 STALE_US = 10_000_000
 HEAD, HEAD_FRESH_US = 8, 1_000_000
-# A server of another zone stands higher by this multiple of the price of a crossing, so that near-ties stay.
-ZONE_BAND = 3
+ZONE_BAND = 3  # a server of another zone stands higher by this multiple of a crossing's price
 HEAVY = 2.0  # from this multiple of the mean load on, a connection's own load counts in the ratios
 # Added to the ratio of a server that said it is full or whose messages are slow, for so long after it did.
-FULL_RATIO = 1.0
-SLOW_US = 2_000_000
+FULL_RATIO, SLOW_US = 1.0, 2_000_000
 PROBE_WAIT = 0.2  # a request waits for the probes made for it for this part of its set-up aim at most
-# An attempt leaves the set-up aim for another try, or this part of the time left when that is shorter.
-TRY_SHARE = 0.5
+TRY_SHARE = 0.5  # an attempt leaves another try the set-up aim, or this part of the time left if shorter
 HOLD_SHARE = 0.25  # a request without a ready server is looked at this often, in parts of its set-up aim
-# All instances together fill a cold server this many times as fast as its present capacity in its warm-up.
-COLD_FILL = 2.0
+COLD_FILL = 2.0  # all instances together fill a cold server this many times as fast as in its warm-up
 # First time out of an ejected server, the most it doubles to, and how long until the next is a first one.
-EJECT_US = 2_000_000
-EJECT_MOST_US = 30_000_000
-PROVEN_US = 10_000_000
+EJECT_US, EJECT_MOST_US, PROVEN_US = 2_000_000, 30_000_000, 10_000_000
 EJECT_PART = 0.5  # with more of the fleet ejected the cause is shared, and ejection is not heeded
 # From so many failed set-ups in a row on, they are paced: by these multiples of the shortest set-up aim.
-GATE_AFTER = 2
-GATE_SHARE, GATE_MOST = 0.5, 8
+GATE_AFTER, GATE_SHARE, GATE_MOST = 2, 0.5, 8
 # Relief: connections of a server above the first ratio are moved down to the fleet's mean, or to the second
 # ratio if that is higher, while so many points of service for each request may be spent on moves.
-RELIEF_FROM = 0.9
-RELIEF_TO = 0.75
-MOVE_SPEND = 0.01
+RELIEF_FROM, RELIEF_TO, MOVE_SPEND = 0.9, 0.75, 0.01
 RELIEF_REST = 3  # times the lag of reports, as moved clients come again only after a while
 # Clients of a draining server are moved within the grace of its drain, or, so that the servers left are not
 # flooded, at most so many times as fast as new ones usually come, but within so many times the grace.
-DRAIN_RUSH = 4.0
-DRAIN_MOST = 2.0
+DRAIN_RUSH, DRAIN_MOST = 4.0, 2.0
 LEAVE_SHARE = 0.8  # an instance that stops moves its connections within this part of the time left to it
 SATURATED = 2.0  # a report above this is of a jam and counts as this much: ratios run beyond the load
 # Between these ratios of the whole fleet arrivals are refused, those of the least worth for their load first.
-REFUSE_FROM = 0.6
-REFUSE_ALL = 0.85
+REFUSE_FROM, REFUSE_ALL = 0.6, 0.85
 # So many instances, at most, are taken to hold what this one does unseen: times forty one heavy connection
 # would look like a full fleet. From so many on the near ties of a group are drawn alike at all of them.
 SPEAKS_FOR, MANY, MIX = 4, 8, 0x9E3779B97F4A7C15
@@ -74,6 +62,7 @@
 HELD, ASKED, STARTED, LEARNT = b"H", b"Q", b"S", b"L"
 # So many bytes of a connection's key, hashed, and of its server's id are an entry; so many fit in a message.
 TAG, MARK, TOLD_MOST = 4, 2, 42
+KEEPERS = 4  # of a large tier keep where a connection stands, dealt out by its key: most may die at once
 RECENT_MOST = 512  # own changes that a report may not hold yet; more do not fit in its lag
 ASK_US = 100_000  # a mid-flow connection unknown here waits so long for others to tell where it stands
 # A failed subscription is asked for again after this part of ask_within, doubling up to the whole. All calls
@@ -217,7 +206,8 @@
         if conn.at is not None or self._holder(conn) is not None:
             self._place(conn)
         elif conn.midflow and conn.tag and self.tells:
-            self.actions.append(api.Tell(None, ASKED + conn.tag))
+            for peer in self._keepers(conn.tag) if self.settings.instances >= MANY else [None]:
+                self.actions.append(api.Tell(peer, ASKED + conn.tag))
             self._hold(conn, ASK_US)
         elif self._refuses(conn):
             self._give_up(conn)
@@ -353,7 +343,8 @@
             if conn.tag:
                 # The next instance knows it too, should this one end without a word.
                 self._remember(conn.tag, conn.server.mark)
-                self._tell_held((self.settings.index + 1) % self.settings.instances, [conn.tag])
+                for peer in self._keepers(conn.tag):
+                    self._tell_held(peer, [conn.tag])
             if conn.server.state is State.DRAINING:
                 self._clear(conn.server, [conn])
         if self.leave_by:
@@ -635,6 +626,13 @@
         if len(self.holders) > self.settings.holders_most:
             del self.holders[next(iter(self.holders))]
 
+    def _keepers(self, tag: bytes) -> list[int]:
+        """The other instances that are told where a connection stands."""
+        count, first = self.settings.instances, int.from_bytes(tag, "big")
+        if count < MANY:
+            return [(self.settings.index + 1) % count]
+        return [p for j in range(KEEPERS) if (p := (first + j) % count) != self.settings.index]
+
     def _tell_held(self, peer: int, tags: Sequence[bytes]) -> None:
         entries = [tag + self.holders[tag] for tag in tags if tag in self.holders]
         for first in range(0, len(entries) if self.tells else 0, TOLD_MOST):
@@ -646,8 +644,10 @@
         if kind == ASKED:
             self._tell_held(event.sender, [body])
         elif kind == STARTED:
-            self._tell_held(event.sender, [conn.tag for conn in self.conns.values() if conn.flows])
-            if event.sender == self.settings.index:
+            flows = [conn.tag for conn in self.conns.values() if conn.flows]
+            own = event.sender == self.settings.index
+            self._tell_held(event.sender, [t for t in flows if own or event.sender in self._keepers(t)])
+            if own:
                 learnt = len(self.arrivals), self.mean_load, self.move_credit, *self.class_load
                 self.actions.append(api.Tell(event.sender, LEARNT + self.learnt.pack(*learnt)))
         elif kind == LEARNT and event.sender == self.settings.index and len(body) == self.learnt.size:
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -229,8 +229,7 @@
             if isinstance(event, api.FleetList):
                 lookout.on_list(now, event)
             elif isinstance(event, api.ProbeResult):
-                for tell in lookout.on_look(now, event):
-                    self.outside.tell(tell.peer, tell.data)
+                lookout.on_look(now, event)
         if lookout.due is not None and (self._look is None or self._look.at != lookout.due):
             self._loop.cancel(self._look)
             self._look = self._loop.after(lookout.due - now, self._begin_looks)
@@ -238,8 +237,11 @@
 
     def _begin_looks(self) -> None:
         if self._lookout is not None:
-            for probe in self._lookout.turn(self._loop.now):
-                self._ask(probe.server)
+            for action in self._lookout.turn(self._loop.now):
+                if isinstance(action, api.Probe):
+                    self._ask(action.server)
+                else:
+                    self._handlers[type(action)](action)
             if self._lookout.due is not None:
                 self._look = self._loop.after(self._lookout.due - self._loop.now, self._begin_looks)
 
--- a/larchhaven/sharing/lookout.py
+++ b/larchhaven/sharing/lookout.py
@@ -20,6 +20,7 @@
 # Messages of this kind are ours; the rest of a message is entries.
 REPORTS = b"R"
 ENTRY = struct.Struct(">HB")
+ENTRIES_MOST = 85  # in a message of 256 bytes
 # Loads over capacity are told in these steps; the last two values are no loads.
 STEP = 0.02
 MOST, FAILED = 253, 255
@@ -33,6 +34,10 @@
 # The next proxy in a server's order steps in after so much silence, and each further one so much later.
 SILENT_US = 5_500_000
 RANK_US = 250_000
+# The servers are dealt out in so many parts: whoever looks at several tells of them in one message, as each
+# message costs more than what is in it. What looks begun together find is told after this time.
+PARTS = 4
+GATHER_US = 30_000
 
 
 @dataclass(slots=True)
@@ -61,6 +66,8 @@
         self._servers: dict[str, _Seen] = {}
         self._marks: dict[int, str] = {}
         self.due: int | None = None  # when ``turn`` is to be called next
+        self._news: dict[int, int] = {}  # to be told, by marks
+        self._tell_at = 0
         self.strange = 0  # entries and messages that could not be used
 
     def wants(self, server: str) -> bool:
@@ -88,7 +95,8 @@
                 self._drop(entry.server)
             elif entry.server not in self._servers:
                 mark = crc32(entry.server.encode()) >> 16
-                rank = (self._settings.index - mark) % self._settings.instances
+                count = self._settings.instances
+                rank = (self._settings.index - mark % PARTS * count // PARTS) % count
                 self._servers[entry.server] = _Seen(mark, rank, now + rank * RANK_US)
                 self._marks[mark] = entry.server
         self._plan()
@@ -98,32 +106,32 @@
         if seen is not None and self._marks.get(seen.mark) == server:
             del self._marks[seen.mark]
 
-    def on_look(self, now: int, result: api.ProbeResult) -> list[api.Tell]:
-        """Take what an own look has found, and tell the others if it is news to them."""
+    def on_look(self, now: int, result: api.ProbeResult) -> None:
+        """Take what an own look has found; ``turn`` tells the others soon if it is news to them."""
         seen = self._servers.get(result.server)
         if seen is None:
-            return []
+            return
         seen.looking = False
-        seen.due = now + LOOK_US
-        self._plan()
-        if result.result is not api.Result.OK:
-            if result.result in (api.Result.NOT_SENT, api.Result.CANCELLED):
-                return []
-            news, again = FAILED, seen.failed
-        else:
+        if result.result is api.Result.OK:
             report = result.report or api.Report()
             ratio = report.utilization if report.ratio is None else report.ratio
             if ratio is None:
-                return []
+                return
             news = min(max(round(ratio / STEP), 0), MOST)
             again = not seen.failed and abs(news * STEP - seen.told) < CHANGE
-            seen.told = seen.told if again else news * STEP
+        elif result.result in (api.Result.NOT_SENT, api.Result.CANCELLED):
+            return
+        else:
+            news, again = FAILED, seen.failed
         if again and now < seen.told_at + QUIET_US:
-            return []
+            return
         seen.failed, seen.told_at = news == FAILED, now
         if not seen.failed:
             seen.told = news * STEP
-        return [api.Tell(None, REPORTS + ENTRY.pack(seen.mark, news))]
+        if not self._news:
+            self._tell_at = now + GATHER_US
+        self._news[seen.mark] = news
+        self._plan()
 
     def on_told(self, now: int, data: bytes) -> list[api.ProbeResult]:
         """Take what another proxy has found; what cannot be used is counted and passed over."""
@@ -148,16 +156,24 @@
         self._plan()
         return found
 
-    def turn(self, now: int) -> list[api.Probe]:
-        """Begin the looks that are due."""
-        begun: list[api.Probe] = []
+    def turn(self, now: int) -> list[api.Action]:
+        """Begin the looks that are due, and tell what the last ones have found."""
+        actions: list[api.Action] = []
+        if self._news and self._tell_at <= now:
+            entries = [ENTRY.pack(mark, news) for mark, news in self._news.items()]
+            for first in range(0, len(entries), ENTRIES_MOST):
+                data = REPORTS + b"".join(entries[first : first + ENTRIES_MOST])
+                actions.append(api.Tell(None, data))
+            self._news.clear()
         for server, seen in self._servers.items():
             if seen.due <= now:
                 seen.due = now + LOOK_US
                 if self.wants(server):
-                    begun.append(api.Probe(server))
+                    actions.append(api.Probe(server))
         self._plan()
-        return begun
+        return actions
 
     def _plan(self) -> None:
         self.due = min((seen.due for seen in self._servers.values()), default=None)
+        if self._news and (self.due is None or self._tell_at < self.due):
+            self.due = self._tell_at
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -99,13 +99,14 @@
     def play(self, since: int, until: int) -> None:
         for now in range(since, until, 50_000):
             for i, one in enumerate(self.all):
-                for probe in one.turn(now) if i not in self.dead else ():
+                actions = one.turn(now) if i not in self.dead else []
+                for tell in of(api.Tell, actions):
+                    self._tell(now, i, tell.data)
+                for probe in of(api.Probe, actions):
                     self.probes[probe.server] += 1
                     ratio = self.ratios[probe.server]
                     result = api.Result.OK if ratio >= 0 else api.Result.TIMEOUT
-                    found = api.ProbeResult(probe.server, result, 0, api.Report(ratio=ratio))
-                    for tell in one.on_look(now, found):
-                        self._tell(now, i, tell.data)
+                    one.on_look(now, api.ProbeResult(probe.server, result, 0, api.Report(ratio=ratio)))
 
     def _tell(self, now: int, teller: int, data: bytes) -> None:
         assert len(data) <= 256
@@ -122,16 +123,16 @@
     tier.play(START, START + 10_000_000)
     assert all(count <= 12 for count in tier.probes.values())  # about one a second, not forty
     told = tier.told
-    assert told <= 12 * 4  # steady loads are told now and then only
+    assert told <= 4 * 4  # steady loads are told now and then, those of one part together
     tier.ratios["s3"] = 1.5
     tier.ratios["s7"] = -1
     tier.play(START + 10_000_000, START + 11_100_000)
-    assert tier.told <= told + 12 + 2
+    assert tier.told <= told + 4 + 2
     for i, heard in tier.heard.items():
         last = {news.server: news for news in heard}
-        if (i - (crc32(b"s3") >> 16)) % 40:  # the others than the one who looks
+        if (i - (crc32(b"s3") >> 16) % 4 * 10) % 40:  # the others than the one who looks
             assert last["s3"].report is not None and last["s3"].report.ratio == 1.5
-        if (i - (crc32(b"s7") >> 16)) % 40:
+        if (i - (crc32(b"s7") >> 16) % 4 * 10) % 40:
             assert last["s7"].result is api.Result.RESET
 
 
@@ -172,6 +173,48 @@
     one.on_list(START, fleet(2))
     draining = api.ServerEntry("s0", api.State.DRAINING)
     one.on_list(START + 1, api.FleetList(api.ListKind.CHANGES, 2, (draining,)))
-    assert {probe.server for probe in one.turn(START + 60_000_000)} == {"s1"}
+    assert {probe.server for probe in of(api.Probe, one.turn(START + 60_000_000))} == {"s1"}
     mark = crc32(b"s0") >> 16
     assert one.on_told(START + 2, REPORTS + ENTRY.pack(mark, 10)) == []
+
+
+def test_most_killed_at_once_and_connections_go_on_where_they_stand() -> None:
+    """Guards packets that pass through: one neighbour knew of each, and died with it on seven days of ten."""
+    settings = _many(pass_through=True, can_probe=False)
+    tier = [Balancer(replace(settings, index=i), seed=i) for i in range(40)]
+    for b in tier:
+        b.handle(START, [fleet(12)])
+
+    def tell(sender: int, actions: Sequence[api.Action], alive: Sequence[int]) -> None:
+        heard = [(sender, action) for action in of(api.Tell, actions)]
+        while heard:
+            teller, action = heard.pop()
+            to = [i for i in alive if i != teller] if action.peer is None else [action.peer]
+            for i in set(to) & set(alive):
+                answers = of(api.Tell, tier[i].handle(START + 2, [api.PeerMessage(teller, action.data)]))
+                heard += [(i, answer) for answer in answers]
+
+    stands = {}
+    for key in range(120):
+        owner = key % 40
+        new = api.Arrival(key, 0, 1_200_000, key=key, load=0.01)
+        sent = of(api.Send, tier[owner].handle(START + 1, [new]))[0]
+        stands[key] = sent.server
+        actions = tier[owner].handle(START + 1, [api.Established(key, 0, sent.server, 100)])
+        tell(owner, actions, range(40))
+    alive = [i for i in range(40) if i % 10 in (0, 3, 4)]
+    found = 0
+    for key in range(120):
+        taker = alive[key % len(alive)]
+        came = api.Arrival(1000 + key, 0, 1_200_000, key=key, load=0.01, midflow=True)
+        first = tier[taker].handle(START + 3, [came])
+        asked = of(api.Tell, first)
+        assert sum(39 if tell.peer is None else 1 for tell in asked) <= 6  # not the whole tier
+        sends = of(api.Send, first)
+        for ask in asked:
+            if ask.peer in alive:
+                answers = tier[ask.peer].handle(START + 4, [api.PeerMessage(taker, ask.data)])
+                for answer in of(api.Tell, answers):
+                    sends += of(api.Send, tier[taker].handle(START + 5, [api.PeerMessage(0, answer.data)]))
+        found += [s.server for s in sends if s.request == 1000 + key] == [stands[key]]
+    assert found >= 78  # with one neighbour that knew: about 36
