Tell something of each part of the servers every 2 s, so that others step in within 4 s

Cause: lookout.py, SILENT_US: a server's news were awaited for 5.5 s and more, as steady loads were told every 5 s.

Change: a proxy that looks tells something of its part at least every 2 s, news of any server in it counting for all; the next steps in after 2.6 s and 100 ms for each place in the order.

--- a/larchhaven/sharing/lookout.py
+++ b/larchhaven/sharing/lookout.py
@@ -31,9 +31,11 @@
 # A change of at least this much is told at once, a smaller one only after the second time.
 CHANGE = 0.1
 QUIET_US = 5_000_000
-# The next proxy in a server's order steps in after so much silence, and each further one so much later.
-SILENT_US = 5_500_000
-RANK_US = 250_000
+# Of each part something is told at least this often.
+BEAT_US = 2_000_000
+# The next proxy in a part's order steps in after so much silence, and each further one so much later.
+SILENT_US = 2_600_000
+RANK_US = 100_000
 # The servers are dealt out in so many parts: whoever looks at several tells of them in one message, as each
 # message costs more than what is in it. What looks begun together find is told after this time.
 PARTS = 4
@@ -67,6 +69,7 @@
         self._marks: dict[int, str] = {}
         self.due: int | None = None  # when ``turn`` is to be called next
         self._news: dict[int, int] = {}  # to be told, by marks
+        self._heard_at = [-SILENT_US] * PARTS  # when anything was last told of a part, by anybody
         self._tell_at = 0
         self.strange = 0  # entries and messages that could not be used
 
@@ -97,7 +100,8 @@
                 mark = crc32(entry.server.encode()) >> 16
                 count = self._settings.instances
                 rank = (self._settings.index - mark % PARTS * count // PARTS) % count
-                self._servers[entry.server] = _Seen(mark, rank, now + rank * RANK_US)
+                due = now + (SILENT_US + rank * RANK_US if rank else 0)
+                self._servers[entry.server] = _Seen(mark, rank, due)
                 self._marks[mark] = entry.server
         self._plan()
 
@@ -123,8 +127,10 @@
             return
         else:
             news, again = FAILED, seen.failed
-        if again and now < seen.told_at + QUIET_US:
+        part = seen.mark % PARTS
+        if again and now < seen.told_at + QUIET_US and now < self._heard_at[part] + BEAT_US:
             return
+        self._heard_at[part] = now
         seen.failed, seen.told_at = news == FAILED, now
         if not seen.failed:
             seen.told = news * STEP
@@ -147,12 +153,15 @@
                 continue
             seen = self._servers[server]
             seen.told_at, seen.failed = now, news == FAILED
-            seen.due = max(seen.due, now + SILENT_US + seen.rank * RANK_US)
+            self._heard_at[mark % PARTS] = now
             if seen.failed:
                 found.append(api.ProbeResult(server, api.Result.RESET, 0))
             else:
                 seen.told = news * STEP
                 found.append(api.ProbeResult(server, api.Result.OK, 0, api.Report(ratio=seen.told)))
+        for seen in self._servers.values() if found else ():
+            if self._heard_at[seen.mark % PARTS] == now:
+                seen.due = max(seen.due, now + SILENT_US + seen.rank * RANK_US)
         self._plan()
         return found
 
