--- a/larchhaven/interface.py
+++ b/larchhaven/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import astuple, dataclass
 from enum import Enum, auto
 
 
@@ -154,6 +154,7 @@
             (self.tip_multiple > 0, "tip_multiple must be positive"),
             (min(self.cold_us, self.tip_after_us, self.drain_grace_us) >= 0, "spans must not be negative"),
             (self.tick_us > 0 and self.ask_within_us > 0, "tick_us and ask_within_us must be positive"),
+            (min(astuple(self.prices)) >= 0, "prices must not be negative"),
             (all(c.aim_us > 0 and c.deadline_us > 0 for c in self.classes), "aims must be positive"),
         )
         for holds, message in checks:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -58,6 +58,15 @@
         wire.decode_settings(OPTIONS.replace("index=1", "index=3"))
 
 
+@pytest.mark.parametrize("price", ["probe", "cross_zone", "moves"])
+def test_prices_are_stated_or_nothing_but_never_negative(price: str) -> None:
+    """Guards choices and paces that follow prices: a negative one would draw clients to the other zone."""
+    stated = wire.decode_settings(OPTIONS).prices
+    assert (stated.probe, stated.cross_zone, stated.moves) == (0.004, 0.0, 0.0)
+    with pytest.raises(wire.WireError, match="prices must not be negative"):
+        wire.decode_settings(f"{OPTIONS} prices.{price}=-1")
+
+
 @pytest.mark.parametrize(
     ("line", "event"),
     [
