Try another zone after a connect that got no answer; tell of failing servers every 2 s

Line: choice.py `_band` leaves out only the servers tried. Change: after a connect without any answer (not a refused one) the rest of that zone ranks last for this request. Looks that go on failing are told of again after 2 s, not 5: others leave a server out for 1 to 3 s and tried it in between.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -62,8 +62,7 @@
 HELD, ASKED, STARTED, LEARNT = b"H", b"Q", b"S", b"L"
 # So many bytes of a connection's key, hashed, and of its server's id are an entry; so many fit in a message.
 TAG, MARK, TOLD_MOST = 4, 2, 42
-KEEPERS = 4  # of a large tier keep where a connection stands, dealt out by its key: most may die at once
-AGAIN_MOST = 10 * TOLD_MOST  # one that has started is told so many of them anew, the latest
+KEEPERS, AGAIN_MOST = 4, 10 * TOLD_MOST  # by its key, of where a connection stands; told anew at a start
 RECENT_MOST = 512  # own changes that a report may not hold yet; more do not fit in its lag
 ASK_US = 100_000  # a mid-flow connection unknown here waits so long for others to tell where it stands
 # A failed subscription is asked for again after this part of ask_within, doubling up to the whole. All calls
@@ -101,6 +100,7 @@
     ran_at: int = 0
     ran_on: Server | None = None  # where an attempt may have run first
     tried: list[Server] = field(default_factory=list)
+    shunned: set[int] = field(default_factory=set)  # zones where a connect got no answer at all
     doubted: list[Server] = field(default_factory=list)  # perhaps not they but the request is at fault
     looks: int = 0  # probes it waits for
     turn: int = 0  # counts its waits, so that a stale timer does not end a later one
@@ -154,12 +154,12 @@
         self.suspended: set[str] = set()  # ids that operators have taken out
         self.tells = settings.can_tell and settings.pass_through and settings.instances > 1
         self.timers: dict[int, Callable[[], None]] = {}
-        self.next_token = 1
+        self.next_token = 0
         self.class_load = [FIRST_LOAD] * len(settings.classes)
         self.learnt = struct.Struct(f"<{3 + len(self.class_load)}d")  # what one that takes over is told
         self.ask_span = 0
-        least, most = (int(part * settings.ask_within_us) for part in (ASK_SHARE, ASK_MOST))
-        self.calm = min(max(least, ASK_EACH_US * settings.instances), most)
+        parts = (int(part * settings.ask_within_us) for part in (ASK_SHARE, ASK_MOST))
+        self.calm = sorted((*parts, ASK_EACH_US * settings.instances))[1]
         self.failures = 0  # set-ups that failed since one last stood
         self.gate_at = 0  # no set-up before
         self.arrivals: deque[int] = deque()
@@ -381,6 +381,8 @@
             if event.result in MAY_HAVE_RUN and conn.ran_on is None:
                 conn.ran_on, conn.ran_at = conn.server, self.now - event.latency_us
             conn.tried.append(conn.server)
+            if event.result is Result.UNREACHABLE and event.latency_us > self.settings.connect_timeout_us / 2:
+                conn.shunned.add(conn.server.zone)
         conn.out = None
         if event.finished or conn.done:
             self._close(conn)
@@ -472,15 +474,12 @@
     # Timers
 
     def _after(self, delay_us: float, then: Callable[[], None]) -> None:
-        token = self.next_token
         self.next_token += 1
-        self.timers[token] = then
-        self.actions.append(api.SetTimer(token, max(int(delay_us), self.settings.tick_us)))
+        self.timers[self.next_token] = then
+        self.actions.append(api.SetTimer(self.next_token, max(int(delay_us), self.settings.tick_us)))
 
     def _on_timer(self, event: api.TimerFired) -> None:
-        then = self.timers.pop(event.token, None)
-        if then is not None:
-            then()
+        self.timers.pop(event.token, lambda: None)()
 
     # Fleet view and probing
 
@@ -716,9 +715,10 @@
         near: list[Server] = []
         ratios: list[float] = []
         ranking = self.ranking
-        if conn.load > HEAVY * self.mean_load:
-            # Its own load counts in the ratio it would meet, or it fills a small server that stood lower.
-            ranking = sorted((r + conn.load / s.weight, tie, s) for r, tie, s in ranking)
+        if conn.shunned or conn.load > HEAVY * self.mean_load:
+            # Its own load counts in the ratio it would meet. Zones are lost as a whole: that one comes last.
+            lost = dict.fromkeys(conn.shunned, FULL_RATIO)
+            ranking = sorted((r + conn.load / s.weight + lost.get(s.zone, 0), t, s) for r, t, s in ranking)
         for ratio, _, server in ranking:
             need = (ratio - level) * capacity
             if filled + need > poured:
--- a/larchhaven/sharing/lookout.py
+++ b/larchhaven/sharing/lookout.py
@@ -139,7 +139,8 @@
         elif result.result in (api.Result.NOT_SENT, api.Result.CANCELLED):
             return
         else:
-            news, again = FAILED, seen.failed
+            # The others leave it out for 1 to 3 s, and would all meet it again before they were told again.
+            news, again = FAILED, seen.failed and now < seen.told_at + BEAT_US
         part = seen.mark % PARTS
         if again and now < seen.told_at + QUIET_US and now < self._heard_at[part] + BEAT_US:
             return
