Count every message as hearing others, but none of the own number; correct unmeasured claims

Mended: a message whose entries were all unknown here did not show that others are heard, though the note says any does, and one of the other process of an upgrade did, though it proves nothing (test added for the first; the second is one comparison). `is_readable` says its rule in three lines; a test that repeated it line by line is out; the start of a silence is noted once.

--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -228,7 +228,8 @@
                 continue
             kept.append(event)
             if isinstance(event, api.PeerMessage):
-                lookout.on_message(now)
+                if event.sender != self._settings.index:  # the other process of an upgrade proves nothing
+                    lookout.on_message(now)
             elif isinstance(event, api.FleetList):
                 lookout.on_list(now, event)
             elif isinstance(event, api.ProbeResult):
--- a/larchhaven/net/discovery.py
+++ b/larchhaven/net/discovery.py
@@ -239,11 +239,11 @@
             self._unheard_at = self._loop.now
 
     def _on_silence(self) -> None:
-        self._miss()
         if self._whole or self._doubted or not self._watching:
             self._fail("no answer in time")
         else:
             self._hang_up()
+            self._miss()
             self._doubted = True
             self._call()
 
--- a/larchhaven/sharing/lookout.py
+++ b/larchhaven/sharing/lookout.py
@@ -177,6 +177,8 @@
         if found:
             self._hear(now)
             self._plan()
+        else:
+            self.on_message(now)
         return found
 
     def on_message(self, now: int) -> None:
--- a/larchhaven/sharing/messages.py
+++ b/larchhaven/sharing/messages.py
@@ -11,14 +11,7 @@
 
     What only the other process of an upgrade tells is no message of another proxy.
     """
-    size = len(data) - 1
-    match data[:1]:
-        case kind if kind == REPORTS:
-            return True
-        case kind if kind == HELD:
-            return size > 0 and size % (TAG + MARK) == 0
-        case kind if kind == ASKED:
-            return size == TAG
-        case kind if kind == STARTED:
-            return size == 0
-    return False
+    kind, size = data[:1], len(data) - 1
+    if kind == HELD:
+        return size > 0 and size % (TAG + MARK) == 0
+    return kind == REPORTS or (kind, size) in ((ASKED, TAG), (STARTED, 0))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -257,6 +257,17 @@
     assert [news.server for news in one.on_told(START + 4, told)] == [twins[0], "alone"]
 
 
+def test_message_of_nothing_known_shows_all_the_same_that_others_are_heard() -> None:
+    """Guards against a proxy with an old list that takes itself for cut off, and looks late."""
+    part = (crc32(b"s0") >> 16) % 4
+    for heard in (False, True):
+        one = Lookout(replace(_many(), index=(8 + 10 * part) % 40))  # the eighth to step in
+        one.on_list(START, fleet(1))
+        if heard:
+            assert one.on_told(START + 2_000_000, REPORTS + ENTRY.pack(1, 10)) == []
+        assert bool(of(api.Probe, one.turn(START + 4_000_000))) is heard
+
+
 def test_most_killed_at_once_and_connections_go_on_where_they_stand() -> None:
     """Guards packets that pass through: one neighbour knew of each, and died with it on seven days of ten."""
     settings = _many(pass_through=True, can_probe=False)
@@ -339,7 +350,7 @@
 
 
 def test_second_try_leaves_a_zone_in_which_nothing_answered() -> None:
-    """Guards the moment a zone is lost: 48 of 72 refusals of a day had tried three servers of that zone.
+    """Guards the moment a zone is lost: 48 of 72 refusals of a day had tried three servers out of reach.
 
     Reports still showed it as the least loaded. A refused connect says nothing of the zone, and where all
     zones are out of reach a try is made all the same.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,9 +4,6 @@
 
 import socket
 
-from hypothesis import given
-from hypothesis import strategies as st
-
 from larchhaven.choice import ASKED, HELD, LEARNT, STARTED
 from larchhaven.net.loop import Loop
 from larchhaven.net.notices import Notices
@@ -50,19 +47,6 @@
         sock.close()
 
 
-@given(st.sampled_from([STARTED, ASKED, HELD, LEARNT, b"R", b"x", b""]), st.binary(max_size=252))
-def test_only_messages_in_our_form_are_readable(kind: bytes, body: bytes) -> None:
-    data = kind + body
-    kind, size = data[:1], len(data) - 1
-    ours = (
-        kind == b"R"
-        or (kind == HELD and size in range(6, 253, 6))
-        or (kind == ASKED and size == 4)
-        or (kind == STARTED and size == 0)
-    )
-    assert is_readable(data) == ours
-
-
 def test_messages_of_each_kind_are_judged_by_their_size() -> None:
     good = (STARTED, ASKED + b"abcd", HELD + b"abcdef", HELD + bytes(252), b"R", b"R123")
     bad = (b"", STARTED + b"x", ASKED, ASKED + b"abcde", HELD, HELD + b"abcde", LEARNT + bytes(56), b"x")
