Keep groups together in fleets of any size; admit by the servers that take new ones

Ten servers were at their cap of connections with ratios of 0.5 to 0.7 and turned 85% of the attempts away, while the fleet's median report said that there was room; what overflowed jammed the five slow ones (_fleet_ratio, _draw, which kept groups together from eight proxies on only). Members' quotas and the t= of a first line were not read at all.

Zones put last after a connect without answer gained nothing and are out.

Change: a group is drawn by rendezvous among all servers within 0.3 of the lowest; refusals go by the median of the servers that take new ones; nothing is placed over 0.85; traffic past a member's quota, over all proxies, counts with over_share_worth; strangers count as past it.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -1,8 +1,8 @@
 """Every decision of a balancer for long-lived connections: least ratio routing.
 
-The interface (settings, events, actions) is declared in ``larchhaven/interface.py``. Each new connection goes
-to the ready server with the lowest last reported load over capacity plus this instance's placements since,
-ties at random, and stays there (Alanyali and Hajek). Times are microseconds, loads are standard cores.
+The types are in ``interface.py``. Each new connection goes to the ready server with the lowest last reported
+load over capacity plus own placements since, and stays there (Alanyali and Hajek); near ties at random, or
+alike for a group. Times are microseconds, loads are standard cores.
 """
 
 from __future__ import annotations
@@ -11,17 +11,17 @@
 import random
 import struct
 from bisect import bisect_left, insort
-from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from functools import partial
+from itertools import accumulate, takewhile
 from zlib import crc32
 
 from larchhaven import interface as api
 from larchhaven.interface import Effect, ListKind, Result, Scope, State
 
-# A report shows a server as it was this long before it arrived: half a refresh, and transport.
-REPORT_LAG_US = 800_000
+REPORT_LAG_US = 800_000  # a report shows a server as it was so long before it came: half a refresh, transport
 PROBE_SPEND = 0.006  # points of service (as a fraction) that each request may spend on probes
 PROBES_LEAST, PROBES_MOST = 1, 8  # for each request, should the price be nothing or prohibitive
 FIRST_LOAD = 0.04  # load of a connection before any hint or note has told: about 25 to a standard core
@@ -32,8 +32,7 @@
 HEAD, HEAD_FRESH_US = 8, 1_000_000
 ZONE_BAND = 3  # a server of another zone stands higher by this multiple of a crossing's price
 HEAVY = 2.0  # from this multiple of the mean load on, a connection's own load counts in the ratios
-# Added to the ratio of a server that said it is full or whose messages are slow, for so long after it did.
-FULL_RATIO, SLOW_US = 1.0, 2_000_000
+FULL_RATIO, SLOW_US = 1.0, 2_000_000  # added to the ratio of one that is full or slow, for so long after
 PROBE_WAIT = 0.2  # a request waits for the probes made for it for this part of its set-up aim at most
 TRY_SHARE = 0.5  # an attempt leaves another try the set-up aim, or this part of the time left if shorter
 HOLD_SHARE = 0.25  # a request without a ready server is looked at this often, in parts of its set-up aim
@@ -52,16 +51,15 @@
 DRAIN_RUSH, DRAIN_MOST = 4.0, 2.0
 LEAVE_SHARE = 0.8  # an instance that stops moves its connections within this part of the time left to it
 SATURATED = 2.0  # a report above this is of a jam and counts as this much: ratios run beyond the load
-# Between these ratios of the whole fleet arrivals are refused, those of the least worth for their load first.
+# Between these ratios of the median server that takes new ones arrivals are refused, those of the least worth
+# for their load first. A server over the second gets none.
 REFUSE_FROM, REFUSE_ALL = 0.6, 0.85
-# So many instances, at most, are taken to hold what this one does unseen: times forty one heavy connection
-# would look like a full fleet. From so many on the near ties of a group are drawn alike at all of them.
-SPEAKS_FOR, MANY, MIX = 4, 8, 0x9E3779B97F4A7C15
+GROUP_BAND = 0.3  # so far above the lowest servers are near ties for a group, whose work they would share
+MANY, MIX = 8, 0x9E3779B97F4A7C15  # from so many instances on several keep what each knows of connections
 DENSITIES = 32  # what an arrival is worth is ranked among so many before it
 # Messages between instances: where connections stand, who knows of one, that one has started, what it learnt.
 HELD, ASKED, STARTED, LEARNT = b"H", b"Q", b"S", b"L"
-# So many bytes of a connection's key, hashed, and of its server's id are an entry; so many fit in a message.
-TAG, MARK, TOLD_MOST = 4, 2, 42
+TAG, MARK, TOLD_MOST = 4, 2, 42  # bytes of a hashed key and server's id, an entry; so many fit in a message
 KEEPERS, AGAIN_MOST = 4, 10 * TOLD_MOST  # by its key, of where a connection stands; told anew at a start
 RECENT_MOST = 512  # own changes that a report may not hold yet; more do not fit in its lag
 ASK_US = 100_000  # a mid-flow connection unknown here waits so long for others to tell where it stands
@@ -100,9 +98,9 @@
     ran_at: int = 0
     ran_on: Server | None = None  # where an attempt may have run first
     tried: list[Server] = field(default_factory=list)
-    shunned: set[int] = field(default_factory=set)  # zones where a connect got no answer at all
     doubted: list[Server] = field(default_factory=list)  # perhaps not they but the request is at fault
     looks: int = 0  # probes it waits for
+    tenant: int = 0
     turn: int = 0  # counts its waits, so that a stale timer does not end a later one
 
 
@@ -151,6 +149,8 @@
         self.ranked_at = 0
         self.holders: dict[bytes, bytes] = {}  # marks of servers by tags of the connections that stand there
         self.marks: dict[bytes, Server] = {}
+        self.open: Counter[int] = Counter()  # own connections that flow, by tenant
+        self.quotas = [*(tenant.quota_connections for tenant in settings.tenants), 0.0]
         self.suspended: set[str] = set()  # ids that operators have taken out
         self.tells = settings.can_tell and settings.pass_through and settings.instances > 1
         self.timers: dict[int, Callable[[], None]] = {}
@@ -164,8 +164,6 @@
         self.gate_at = 0  # no set-up before
         self.arrivals: deque[int] = deque()
         self.mean_load = FIRST_LOAD
-        self.unseen = 0.0  # own changes of load that no report contains yet, over all servers
-        self.weight = 0.0  # of all ready servers
         self.densities: deque[float] = deque(maxlen=DENSITIES)
         self.ratio_sum = self.ratio_weight = 0.0
         self.waiting: dict[str, list[Conn]] = {}  # requests that wait for a probe of this server
@@ -227,6 +225,7 @@
         tag = b"" if event.key is None else _short(str(event.key), TAG)
         group = None if event.group is None else crc32(str(event.group).encode())
         conn = Conn(event.request, cls, self.now + event.budget_us, load, tag, event.midflow, group, event.at)
+        conn.tenant = event.tenant
         self.conns[conn.id] = conn
         return conn
 
@@ -246,14 +245,13 @@
         server = self._holder(conn)
         if server is None and conn.at is None and self.now >= self.gate_at:
             near, shares = self._band(conn)
-            server = self._draw(conn, near, shares) if near else None
-        if (
-            server is None
-            and (conn.tried or self.suspended)
-            and all(e[2] in conn.tried for e in self.ranking)
-        ):
-            self._give_up(conn)  # nobody is left to wait for
-            return
+            server = self.rng.choices(near, shares)[0] if near else None
+            known = server is not None and not conn.midflow and (server.ratio is not None or server.own > 0)
+            if server is not None and known and self._ratio(server) > REFUSE_ALL:
+                return self._give_up(conn)  # it would jam, and others with it
+        alone = server is None and (conn.tried or self.suspended)
+        if alone and all(e[2] in conn.tried for e in self.ranking):
+            return self._give_up(conn)  # nobody is left to wait for
         if server is None:
             wait = max(HOLD_SHARE * aim, self.gate_at - self.now) * (1 + self.rng.random() / 2)
             self._hold(conn, min(wait, left - 2 * limits.tick_us))
@@ -341,6 +339,7 @@
             self._stand(conn)
 
     def _stand(self, conn: Conn) -> None:
+        self.open[conn.tenant] += 1
         if conn.server is not None:
             conn.server.conns[conn.id] = conn
             if conn.tag:
@@ -381,8 +380,7 @@
             if event.result in MAY_HAVE_RUN and conn.ran_on is None:
                 conn.ran_on, conn.ran_at = conn.server, self.now - event.latency_us
             conn.tried.append(conn.server)
-            if event.result is Result.UNREACHABLE and event.latency_us > self.settings.connect_timeout_us / 2:
-                conn.shunned.add(conn.server.zone)
+        self.open[conn.tenant] -= conn.flows
         conn.out = None
         if event.finished or conn.done:
             self._close(conn)
@@ -511,7 +509,6 @@
     def _list_entries(self, entries: Iterable[api.ServerEntry]) -> None:
         for entry in entries:
             self._reorder(self._list_entry(entry))
-        self.weight = sum(entry[2].weight for entry in self.ranking)
 
     def _list_entry(self, entry: api.ServerEntry) -> Server:
         server = self.fleet.get(entry.server)
@@ -593,8 +590,7 @@
         server.ratio, server.report_at = ratio, self.now
         seen = self.now - REPORT_LAG_US - latency_us
         server.recent = deque((change for change in server.recent if change[0] > seen), RECENT_MOST)
-        own = sum(load for _, load in server.recent)
-        server.own, self.unseen = own, self.unseen - server.own + own
+        server.own = sum(load for _, load in server.recent)
         self._reorder(server)
 
     def _forget_report(self, server: Server) -> None:
@@ -605,7 +601,7 @@
 
     def _forget_load(self, server: Server) -> None:
         self._forget_report(server)
-        self.unseen, server.own = self.unseen - server.own, 0.0
+        server.own = 0.0
         server.recent.clear()
 
     def _add_own(self, server: Server, load: float) -> None:
@@ -613,7 +609,6 @@
             return  # no report will ever contain it
         server.recent.append((self.now, load))
         server.own += load
-        self.unseen += load
         self._reorder(server)
 
     # What instances tell each other
@@ -698,35 +693,27 @@
         self.ranked_at = self.now
 
     def _band(self, conn: Conn) -> tuple[list[Server], list[float]]:
-        """The near-tie band of the lowest ratios, and the share of each server in it.
-
-        All instances read the same late reports and would flood the lowest server together. The load
-        expected of the others meanwhile is poured over the lowest ratios as water would settle.
-        """
+        """The near-tie band of the lowest ratios, and the share of each server in it."""
         now = self.now
         if now - self.ranked_at > STALE_US:
             self._rank_all()
         for entry in self.ranking[:HEAD]:
             if now - entry[2].ranked_at > HEAD_FRESH_US:
                 self._reorder(entry[2])
-        trusting = self._ejections_trusted()
+        usable = self._usable(conn)
+        if conn.group is not None:
+            drawn = self._group_band(conn.group, usable)
+            return ([], []) if drawn is None else ([drawn], [1.0])
+        # All instances read the same late reports and would flood the lowest server together. The load
+        # expected of the others meanwhile is poured over the lowest ratios as water would settle.
         poured = conn.load + self._expected_from_others()
         level, capacity, filled = 0.0, 0.0, 0.0
         near: list[Server] = []
         ratios: list[float] = []
-        ranking = self.ranking
-        if conn.shunned or conn.load > HEAVY * self.mean_load:
-            # Its own load counts in the ratio it would meet. Zones are lost as a whole: that one comes last.
-            lost = dict.fromkeys(conn.shunned, FULL_RATIO)
-            ranking = sorted((r + conn.load / s.weight + lost.get(s.zone, 0), t, s) for r, t, s in ranking)
-        for ratio, _, server in ranking:
+        for ratio, server in usable:
             need = (ratio - level) * capacity
             if filled + need > poured:
                 break
-            if (server.ejected_until > now and trusting) or server.open_at > now:
-                continue
-            if server in conn.tried or (conn.ran_on is not None and not self._allowed(conn, server)):
-                continue
             filled += need
             level = ratio
             capacity += server.weight
@@ -737,18 +724,30 @@
         shares = [max(level - r, 1e-9) * s.weight for r, s in zip(ratios, near, strict=True)]
         return near, shares
 
-    def _draw(self, conn: Conn, near: Sequence[Server], shares: Sequence[float]) -> Server:
-        """Draw from the band by its shares; in a large tier alike for all of a group, as these share work."""
-        if conn.group is None or self.settings.instances < MANY:
-            return self.rng.choices(near, shares)[0]
-        # Weighted rendezvous: over all groups a server wins by its share; CRCs alone would favour a few.
-        points = [((crc32(s.mark, conn.group) * MIX >> 32) % 2**32 + 0.5) / 2**32 for s in near]
-        return max(zip(points, shares, near, strict=True), key=lambda p: p[1] / -math.log(p[0]))[2]
+    def _usable(self, conn: Conn) -> Iterator[tuple[float, Server]]:
+        """The ready servers that a request may go to now, lowest first, with the ratio that it would meet."""
+        now, trusting, ranking = self.now, self._ejections_trusted(), self.ranking
+        if conn.load > HEAVY * self.mean_load:
+            ranking = sorted((r + conn.load / s.weight, t, s) for r, t, s in ranking)
+        for ratio, _, server in ranking:
+            if (server.ejected_until > now and trusting) or server.open_at > now or server in conn.tried:
+                continue
+            if conn.ran_on is None or self._allowed(conn, server):
+                yield ratio, server
+
+    def _group_band(self, group: int, usable: Iterator[tuple[float, Server]]) -> Server | None:
+        """The one server of the near ties that all instances draw for a group: each that holds any pays."""
+        lowest = next(usable, None)
+        if lowest is None:
+            return None
+        near = [lowest[1], *(s for _, s in takewhile(lambda e: e[0] <= lowest[0] + GROUP_BAND, usable))]
+        # Weighted rendezvous: over all groups a server wins by its weight; CRCs alone would favour a few.
+        points = [((crc32(s.mark, group) * MIX >> 32) % 2**32 + 0.5) / 2**32 for s in near]
+        return max(zip(points, near, strict=True), key=lambda e: math.log(e[0]) / e[1].weight)[1]
 
     def _expected_from_others(self) -> float:
         """Load that the other instances place within the time that a report lags, were they like this one."""
-        self._drop_arrivals()
-        # The arrival in hand says nothing of the rate; with no other, some are still to be expected.
+        self._drop_arrivals()  # the one in hand says nothing of the rate; with no other, some are expected
         placed = max(len(self.arrivals) - 1, 0.5) * REPORT_LAG_US / RATE_SPAN_US * self.mean_load
         return (self.settings.instances - 1) * placed
 
@@ -781,25 +780,25 @@
         """Count the listed servers that get nothing new now: not ready, or cast out while that is heeded."""
         self.now = now
         until = now if self._ejections_trusted() else math.inf
-        out = [s for s in self.fleet.values() if s.state is State.DRAINING or s.ejected_until > until]
-        return sum(server.state is not State.GONE for server in out)
+        listed = [s for s in self.fleet.values() if s.state is not State.GONE]
+        return sum(s.state is State.DRAINING or s.ejected_until > until for s in listed)
 
     # Admission
 
-    def _fleet_ratio(self) -> float:
-        """Load over capacity of the whole fleet, by the median where few jammed servers raise the mean."""
-        unseen = min(self.settings.instances, SPEAKS_FOR) * self.unseen / self.weight if self.weight else 0.0
-        told = sorted(s.ratio for s in self.fleet.values() if s.ratio is not None)
-        return min(self._mean(), told[len(told) // 2] if told else 0.0) + unseen
-
     def _refuses(self, conn: Conn) -> bool:
         """Refuse early rather than jam: the least worth for its load first."""
-        cls = self.settings.classes[conn.cls]
-        density = cls.worth if self.settings.worth_by_work else cls.worth / max(conn.load, 1e-6)
+        limits, worth = self.settings, self.settings.classes[conn.cls].worth
+        quota = self.quotas[min(conn.tenant, len(limits.tenants))]
+        if limits.tenants and quota <= self.open[conn.tenant] * limits.instances:
+            worth *= limits.over_share_worth  # that of one who is no tenant is past any share
+        density = worth if limits.worth_by_work else worth / max(conn.load, 1e-6)
         below = sum((d < density) + 0.5 * (d == density) for d in self.densities)
         rank = below / len(self.densities) if self.densities else 1.0
         self.densities.append(density)
-        return rank < (self._fleet_ratio() - REFUSE_FROM) / (REFUSE_ALL - REFUSE_FROM)
+        usable = [server for _, server in self._usable(conn)]
+        weights = list(accumulate(s.weight for s in usable))
+        median = self._ratio(usable[bisect_left(weights, weights[-1] / 2)]) if usable else 0.0
+        return rank < (median - REFUSE_FROM) / (REFUSE_ALL - REFUSE_FROM)
 
     def _close_cold(self, server: Server, connections: float) -> None:
         """Rule 4: take so many connections from this instance's part of a cold server's growing budget."""
--- a/larchhaven/interface.py
+++ b/larchhaven/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import astuple, dataclass
 from enum import Enum, auto
 
@@ -82,11 +83,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
-    """One tenant's share of the fleet."""
+    """One tenant's share of the fleet; a quota that is not told is never reached."""
 
-    share: float
+    share: float = 0.0
     allowance_per_s: float = 0.0
-    quota_connections: float = 0.0
+    quota_connections: float = math.inf  # open connections over all instances together
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,6 +156,9 @@
             (min(self.cold_us, self.tip_after_us, self.drain_grace_us) >= 0, "spans must not be negative"),
             (self.tick_us > 0 and self.ask_within_us > 0, "tick_us and ask_within_us must be positive"),
             (min(astuple(self.prices)) >= 0, "prices must not be negative"),
+            (self.over_share_worth >= 0, "over_share_worth must not be negative"),
+            (all(t.share >= 0 for t in self.tenants), "a tenant's share must not be negative"),
+            (all(t.quota_connections >= 0 for t in self.tenants), "a tenant's quota must not be negative"),
             (all(c.aim_us > 0 and c.deadline_us > 0 for c in self.classes), "aims must be positive"),
         )
         for holds, message in checks:
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -43,6 +43,7 @@
     again: bool = False
     midflow: bool = False
     at: str | None = None
+    tenant: int = 0
 
 
 class Execution(Protocol):
@@ -277,6 +278,7 @@
                 token,
                 wants.cls,
                 wait,
+                wants.tenant,
                 key=wants.key,
                 load=wants.load,
                 group=wants.group,
@@ -439,7 +441,7 @@
         command = Command(None, wants, self._loop.now)
         command.attempt, command.host, command.begun_at = 0, host, self._loop.now
         token = self._add(command)
-        arrival = api.Arrival(token, wants.cls, 0, key=wants.key, load=wants.load, group=wants.group)
+        arrival = api.Arrival(token, wants.cls, 0, wants.tenant, wants.key, wants.load, wants.group)
         self.queue(api.Resumed(arrival, host))
         command.session = join(token)
 
--- a/larchhaven/net/clients.py
+++ b/larchhaven/net/clients.py
@@ -62,7 +62,7 @@
                     self.stream.write(lines.AWAY if self._listener.away else lines.PONG)
                     self._rest(PING_REST_US)
                     continue
-                wants = lines.read_opening(line, self._listener.classes)
+                wants = lines.read_opening(line, self._listener.classes, self._listener.tenants)
                 if self._listener.broker.refuses_identity(wants):
                     raise lines.BadLineError("the id is that of an open command")
             except lines.BadLineError as error:
@@ -138,6 +138,7 @@
         notices: Notices,
         address: tuple[str, int],
         classes: Mapping[str, int],
+        tenants: Mapping[str, int],
         descriptors: int,
         rooms: Rooms,
         inherited: int | None = None,
@@ -147,6 +148,7 @@
         self.broker = broker
         self.notices = notices
         self.classes = classes
+        self.tenants = tenants
         self.away = False  # clients are sent away; those that come all the same are served
         self._rooms = rooms
         self.unread_us = UNREAD_US
--- a/larchhaven/net/config.py
+++ b/larchhaven/net/config.py
@@ -59,6 +59,7 @@
     known: HostList
     settings: api.Settings
     classes: dict[str, int]
+    tenants: dict[str, int]
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
 
@@ -109,6 +110,8 @@
     if socket_fd and not (socket_fd.isascii() and socket_fd.isdigit()):
         raise ConfigError(f"EDGE_SOCKET_FD must be a descriptor's number, not {socket_fd!r}")
     names = [str(service.get("name", "")) for service in services] if isinstance(services, list) else []
+    parties = file.settings.get("parties")
+    members = [str(party.get("name", "")) for party in parties] if isinstance(parties, list) else []
     return Config(
         name=file.name or environment.get("EDGE_NAME", ""),
         listen=_address(file.listen or environment.get("EDGE_LISTEN", ""), "listen"),
@@ -123,6 +126,7 @@
         known=file.known or HostList(seq=0, hosts=[], whole=True),
         settings=settings,
         classes={name: i for i, name in enumerate(names)},
+        tenants={name: i for i, name in enumerate(members)},
         zones=_names(file.settings, "zones"),
         kinds=_names(file.settings, "kinds"),
     )
--- a/larchhaven/net/handover.py
+++ b/larchhaven/net/handover.py
@@ -71,6 +71,7 @@
     key: int | None = None
     group: int | None = None
     load: float | None = None
+    tenant: int = 0
 
 
 Message = Hello | Known | Identity | Heard | Standing
--- a/larchhaven/net/lines.py
+++ b/larchhaven/net/lines.py
@@ -70,8 +70,12 @@
     return fields.get(name, b"0") not in (b"0", b"")
 
 
-def read_opening(line: bytes, classes: Mapping[str, int]) -> Wants:
-    """Read ``OPEN id key c=..,d=..``; raise BadLineError for anything else."""
+def read_opening(line: bytes, classes: Mapping[str, int], tenants: Mapping[str, int]) -> Wants:
+    """Read ``OPEN id key c=..,t=..,d=..``; raise BadLineError for anything else.
+
+    Where the settings name tenants, a command of none of them is of no tenant: it is served, and counts as
+    traffic past every share.
+    """
     parts = line.split(b" ")
     if len(parts) != 4 or parts[0] != b"OPEN":
         raise BadLineError("the first line is not 'OPEN id key fields'")
@@ -103,6 +107,7 @@
         again=_maybe_flag(fields, b"again"),
         midflow=_maybe_flag(fields, b"mid"),
         at=at.decode("utf-8", "replace") if at else None,
+        tenant=tenants.get(fields.get(b"t", b"").decode("utf-8", "replace"), len(tenants)),
     )
 
 
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -150,6 +150,7 @@
             notices,
             config.listen,
             config.classes,
+            config.tenants,
             descriptors,
             self._rooms,
             config.socket_fd,
@@ -292,6 +293,7 @@
             key=standing.key,
             group=standing.group,
             load=standing.load,
+            tenant=standing.tenant,
         )
         broker.adopt(
             wants,
@@ -314,6 +316,7 @@
                 key=wants.key,
                 group=wants.group,
                 load=command.load,
+                tenant=wants.tenant,
             )
             if not self._handover.pass_on(standing, relay.descriptors()):
                 self._loop.after(PASS_AGAIN_US, lambda: None)  # the next turn tries again
--- a/larchhaven/wire.py
+++ b/larchhaven/wire.py
@@ -4,6 +4,7 @@
 
 import base64
 import binascii
+import math
 from collections.abc import Callable, Iterable, Mapping
 from typing import TypeVar
 
@@ -309,9 +310,9 @@
         return self.whole(f"{path}.count", default)
 
 
-def _number_at(items: list[str], i: int, what: str) -> float:
-    """Read one of a list of numbers; one that is not stated is 0."""
-    return 0.0 if i >= len(items) or items[i] in _ABSENT else _number(items[i], what)
+def _number_at(items: list[str], i: int, what: str, default: float = 0.0) -> float:
+    """Read one of a list of numbers; one that is not stated is the default."""
+    return default if i >= len(items) or items[i] in _ABSENT else _number(items[i], what)
 
 
 def decode_settings(text: str) -> api.Settings:
@@ -375,9 +376,9 @@
         )
     tenants = tuple(
         api.Tenant(
-            o.number(f"parties.{i}.share"),
+            o.number(f"parties.{i}.share", 0.0),
             o.number(f"parties.{i}.allowance_per_s", 0.0),
-            _number_at(quotas, i, "family_info.tenant_quota_connections"),
+            _number_at(quotas, i, "family_info.tenant_quota_connections", math.inf),
         )
         for i in range(o.count("parties", 0))
     )
--- a/tests/test_lines.py
+++ b/tests/test_lines.py
@@ -17,6 +17,20 @@
 PIECES = st.lists(st.sampled_from([b"a", b"\r", b"\n", b"\r\n", b"BYE x0=1", b"\x00\xff" * 200]), max_size=30)
 
 
+@pytest.mark.parametrize(
+    ("fields", "members", "tenant"),
+    [
+        (b"c=a,t=north", {"south": 0, "north": 1}, 1),
+        (b"c=a,t=east", {"south": 0, "north": 1}, 2),  # none of them
+        (b"c=a", {"south": 0, "north": 1}, 2),
+        (b"c=a,t=north", {}, 0),
+        (b"c=a,t=\xff\xfe", {"south": 0}, 1),
+    ],
+)
+def test_member_of_a_command(fields: bytes, members: dict[str, int], tenant: int) -> None:
+    assert lines.read_opening(b"OPEN 1 2 " + fields, {"a": 0}, members).tenant == tenant
+
+
 @settings(max_examples=200, deadline=None, derandomize=True)
 @given(PIECES)
 def test_lines_are_counted_alike_however_they_are_split(pieces: list[bytes]) -> None:
