--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -27,8 +27,7 @@
 FIRST_LOAD = 0.04  # load of a connection before any hint or note has told: about 25 to a standard core
 LEARN = 0.05  # weight of a new sample in learned means
 RATE_SPAN_US = 5_000_000  # arrivals are counted over several report lags, so that bursts show
-# A report loses half of what it tells in this time, and the ranking is made anew; its head is kept fresher.
-STALE_US = 10_000_000
+STALE_US = 10_000_000  # a report loses half of what it tells in this time, and the ranking is made anew
 HEAD, HEAD_FRESH_US = 8, 1_000_000
 ZONE_BAND = 3  # a server of another zone stands higher by this multiple of a crossing's price
 HEAVY = 2.0  # from this multiple of the mean load on, a connection's own load counts in the ratios
@@ -55,7 +54,8 @@
 # for their load first. A server over the second gets none.
 REFUSE_FROM, REFUSE_ALL = 0.6, 0.85
 GROUP_BAND = 0.3  # so far above the lowest servers are near ties for a group, whose work they would share
-MANY, MIX = 8, 0x9E3779B97F4A7C15  # from so many instances on several keep what each knows of connections
+# One instance's part stands for so many at most unseen; from so many on several keep what each knows.
+SPEAKS_FOR, MANY, MIX = 4, 8, 0x9E3779B97F4A7C15
 DENSITIES = 32  # what an arrival is worth is ranked among so many before it
 # Messages between instances: where connections stand, who knows of one, that one has started, what it learnt.
 HELD, ASKED, STARTED, LEARNT = b"H", b"Q", b"S", b"L"
@@ -154,14 +154,12 @@
         self.suspended: set[str] = set()  # ids that operators have taken out
         self.tells = settings.can_tell and settings.pass_through and settings.instances > 1
         self.timers: dict[int, Callable[[], None]] = {}
-        self.next_token = 0
         self.class_load = [FIRST_LOAD] * len(settings.classes)
         self.learnt = struct.Struct(f"<{3 + len(self.class_load)}d")  # what one that takes over is told
-        self.ask_span = 0
+        self.next_token = self.ask_span = 0
         parts = (int(part * settings.ask_within_us) for part in (ASK_SHARE, ASK_MOST))
         self.calm = sorted((*parts, ASK_EACH_US * settings.instances))[1]
-        self.failures = 0  # set-ups that failed since one last stood
-        self.gate_at = 0  # no set-up before
+        self.failures = self.gate_at = 0  # set-ups that failed since one last stood; none begun before
         self.arrivals: deque[int] = deque()
         self.mean_load = FIRST_LOAD
         self.densities: deque[float] = deque(maxlen=DENSITIES)
@@ -209,7 +207,7 @@
         elif conn.midflow and conn.tag and self.tells:
             for peer in self._keepers(conn.tag) if self.settings.instances >= MANY else [None]:
                 self.actions.append(api.Tell(peer, ASKED + conn.tag))
-            self._hold(conn, ASK_US)
+            self._hold(conn, min(ASK_US, HOLD_SHARE * event.budget_us))
         elif self._refuses(conn):
             self._give_up(conn)
             self._refresh()
@@ -662,7 +660,9 @@
     def _ratio(self, server: Server) -> float:
         """Estimated load over capacity: the last report, aged, and own changes that it cannot contain."""
         mean = self._mean()
-        ratio = server.own / server.weight
+        # Where nobody reports, the others are taken to have placed as much.
+        unseen = 1 if self.ratio_weight > 1e-6 else min(self.settings.instances, SPEAKS_FOR)
+        ratio = unseen * server.own / server.weight
         if server.ratio is None:
             # Without a report a server is like the mean, not idle; one seen to start is empty.
             ratio += mean if server.warm_at <= self.now else 0.0
