--- a/example/toy_server.py
+++ b/example/toy_server.py
@@ -111,8 +111,12 @@
     listen(DISCOVERY, None)
     for name, address in SERVERS.items():
         listen(address, name)
-    selector.register(sys.stdin, selectors.EVENT_READ, on_typed)
-    print("toy servers s0 and s1 and discovery are up; type 'drain s0' to see its clients move", flush=True)
+    hint = "type 'drain s0' to see its clients move"
+    try:
+        selector.register(sys.stdin, selectors.EVENT_READ, on_typed)
+    except (OSError, ValueError):  # a file or /dev/null, which no selector can watch, or nothing at all
+        hint = "nobody can type here, so they stay as they are"
+    print(f"toy servers s0 and s1 and discovery are up; {hint}", flush=True)
     while True:
         for key, _ in selector.select(0.05):
             key.data()
--- a/larchhaven/cli/app.py
+++ b/larchhaven/cli/app.py
@@ -5,6 +5,7 @@
 import os
 import sys
 from collections.abc import Sequence
+from enum import StrEnum
 from pathlib import Path
 from typing import Annotated
 
@@ -101,6 +102,32 @@
     raise typer.Exit(work.show_plan(grant, sockets, start, operator, json))
 
 
+class Day(StrEnum):
+    """The small days that come with the program."""
+
+    HALLS = "halls"
+    CHARTS = "charts"
+
+
+@app.command("try")
+def try_day(
+    day: Annotated[
+        Day, typer.Argument(help="halls: two classes. charts: two members with quotas.")
+    ] = Day.HALLS,
+    json: Json = False,
+) -> None:
+    """Play a small day around real proxies on loopback, nothing to prepare, and say what was served.
+
+    The halls have two proxies that talk, and a server that drains. The charts have one proxy, two members of
+    which one asks for more than its quota, long lives and a server that crashes and comes back cold.
+
+    Example: larchhaven try charts
+    """
+    from larchhaven.cli import lab as work
+
+    raise typer.Exit(work.try_day(day.value, json))
+
+
 @lab.command("play")
 def lab_play(
     scenario: Annotated[Path, typer.Argument(help="A scenario, such as example/lab/morning.textproto.")],
--- a/larchhaven/cli/lab.py
+++ b/larchhaven/cli/lab.py
@@ -15,6 +15,8 @@
 from larchhaven.lab.rules import Broken, Checker
 from larchhaven.lab.site import Outcome, Site, load, play
 
+DAYS = Path(__file__).parent.parent / "lab" / "days"
+
 
 def show_progress(site: Site) -> None:
     """Keep one line up to date for whoever watches; nothing if nobody does."""
@@ -63,6 +65,9 @@
         print(f"  {name}: {counts['asked']} asked: {answers}; moved {counts['moves']}, lost {counts['lost']}")
         if counts["setup_ms_p50"] is not None:
             print(f"    set up in {counts['setup_ms_p50']} ms (median), {counts['setup_ms_p99']} ms (p99)")
+    for name, words in outcome.members.items():
+        asked = sum(words.values())
+        print(f"  of {name}: {words.get('UP', 0)} of {asked} served ({words.get('UP', 0) / asked:.0%})")
     if outcome.samples:
         peak = max(sample.resident for sample in outcome.samples)
         print(f"  a proxy's memory at most {peak / (1 << 20):.1f} MB")
@@ -79,6 +84,11 @@
         print(f"  and {len(broken) - 20} more")
 
 
+def try_day(name: str, as_json: bool) -> int:
+    """Play one of the small days that come with the program; return the exit code."""
+    return play_file(DAYS / f"{name}.textproto", None, None, None, as_json)
+
+
 def check_file(path: Path, as_json: bool) -> int:
     """Check the rules on records in a file; return the exit code."""
     checker = Checker()
--- a/larchhaven/lab/site.py
+++ b/larchhaven/lab/site.py
@@ -54,6 +54,7 @@
     broken_more: int = 0
     records: dict[str, int] = field(default_factory=dict)
     classes: dict[str, dict[str, Any]] = field(default_factory=dict)
+    members: dict[str, dict[str, int]] = field(default_factory=dict)  # the first words of their answers
     samples: list[Sample] = field(default_factory=list)
     crashed: list[str] = field(default_factory=list)
     errors: list[str] = field(default_factory=list)  # unexpected errors in a proxy's log
@@ -78,19 +79,22 @@
     return {
         "contract": {
             "answer_slack": 20000, "ask_within": 10000000, "cold": 7100000, "cold_from": 0.33,
-            "stop_sending_within": 3000000, "tip_after": 1500000, "tip_multiple": 2.5,
+            "stop_sending_within": int((scenario.drain_grace_ms or 3000) * 1000),
+            "tip_after": 1500000, "tip_multiple": 2.5,
         },
         "discovery": "subscribe", "family": "conn", "index": index, "instances": tier,
-        "kinds": ["k"], "tick": 5000, "zone": 0, "zones": ["here"], "parties": [], "stages": ["s"],
+        "kinds": ["k"], "tick": 5000, "zone": 0, "zones": ["here"], "stages": ["s"], "over_share_worth": 0.2,
+        "parties": [{"name": m.name, "share": m.share} for m in scenario.members],
         "weights": "nominal", "prices": {"moves": 0.016, "probe": 0.002},
         "family_info": {
             "message_aim": [100000.0] * len(classes), "mode": "pass" if scenario.pass_through else "proxy",
             "park": 6000000 if scenario.pass_through else 0, "tells_delay": True, "tells_load": True,
-            "tenant_quota_connections": [], "groups": True, "hint": "",
+            "tenant_quota_connections": [m.quota for m in scenario.members], "groups": True, "hint": "",
         },
         "policy_limits": {
-            "cancel": True, "connect_timeout": 250000, "max_retry_after": 1500000, "most_tries": 3,
-            "parallel_tries": False, "probes": True, "retry_after": True, "may_tell": tier > 1,
+            "cancel": True, "connect_timeout": 250000, "max_retry_after": 1500000,
+            "most_tries": scenario.attempts or 3, "parallel_tries": False, "probes": True,
+            "retry_after": True, "may_tell": tier > 1 and not scenario.proxies_keep_silent,
         },
         "report": {"fields": ["x0"], "how": "pull"},
         "services": [
@@ -117,7 +121,8 @@
         self.scenario = scenario
         self.folder = folder
         self.recorder = Recorder(record)
-        self.checker = Checker(contract)
+        drain_us = int((scenario.drain_grace_ms or 3000) * 1000)
+        self.checker = Checker(contract or Contract(drain_us=drain_us))
         self.recorder.takers.append(self._take)
         self.servers: dict[str, ExamServer] = {}
         for group in scenario.servers:
@@ -325,6 +330,7 @@
                 "setup_ms_p50": round(times[len(times) // 2], 2) if times else None,
                 "setup_ms_p99": round(times[len(times) * 99 // 100], 2) if times else None,
             }  # fmt: skip
+        outcome.members = {name: dict(words) for name, words in sorted(self.terminals.members.items())}
         return outcome
 
 
@@ -382,6 +388,9 @@
                 complaints.append(
                     f"terminals: there is no class {name!r}, known are {', '.join(sorted(classes))}"
                 )
+        members = {m.name for m in scenario.members}
+        for member in {group.member for group in scenario.terminals} - members - {""}:
+            complaints.append(f"terminals: there is no member {member!r}, known are {sorted(members)}")
         if not names:
             complaints.append("servers: write at least one group of exam servers")
     return scenario, complaints
--- a/larchhaven/lab/terminals.py
+++ b/larchhaven/lab/terminals.py
@@ -7,6 +7,7 @@
 import random
 import socket
 import struct
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -34,6 +35,7 @@
     group_size: int = 1
     size: int = 2_000_000
     id_bytes: int = 16
+    member: str = ""
 
     @classmethod
     def of(cls, group: Group) -> Wishes:
@@ -50,6 +52,7 @@
             group.group_size or 1,
             group.bytes or 2_000_000,
             group.id_bytes or 16,
+            group.member,
         )
 
 
@@ -81,6 +84,7 @@
         self._broken: set[asyncio.StreamWriter] = set()  # by us
         self._members = 0
         self.counts: dict[str, Counts] = {}
+        self.members: dict[str, Counter[str]] = {}  # what those of each member were answered
 
     @property
     def present(self) -> int:
@@ -132,7 +136,8 @@
         """Come once; return the first word of the answer, or ``again`` if it was moved or broken off."""
         reader, writer = await self._connect(wishes.habit == Group.NEVER_READ)
         name = f"{rng.getrandbits(4 * 16):016x}" * (wishes.id_bytes // 16 or 1)
-        fields = f"c={wishes.cls},d={wishes.patience_ms},g={group:x}" + (",again=1" if again else "")
+        member = f",t={wishes.member}" if wishes.member else ""
+        fields = f"c={wishes.cls}{member},d={wishes.patience_ms},g={group:x}" + (",again=1" if again else "")
         line = f"OPEN {name} {rng.getrandbits(64):016x} {fields}\r\n".encode()
         try:
             if wishes.habit not in (Group.USUAL, Group.NEVER_READ, Group.RESETS):
@@ -186,6 +191,8 @@
         self._recorder.note("answer", id=name, text=answer)
         word = answer.partition(" ")[0] or "end"
         counts.answers[word] = counts.answers.get(word, 0) + 1
+        if wishes.member:
+            self.members.setdefault(wishes.member, Counter())[word] += 1
         if word != "UP":
             return word
         if len(counts.setup_ms) < SETUPS_KEPT:
--- a/tests/test_lab.py
+++ b/tests/test_lab.py
@@ -9,6 +9,8 @@
 import msgspec
 import pytest
 
+from larchhaven.cli.app import Day
+from larchhaven.cli.lab import DAYS
 from larchhaven.lab.record import Record
 from larchhaven.lab.rules import BROKEN_MOST, Checker
 from larchhaven.lab.site import load, play
@@ -120,5 +122,20 @@
 
 
 def test_example_scenarios_are_read_without_a_complaint() -> None:
-    paths = list((ROOT / "example" / "lab").glob("*.textproto"))
-    assert paths and all(load(path.read_text())[1] == [] for path in paths)
+    paths = [*(ROOT / "example" / "lab").glob("*.textproto"), *DAYS.glob("*.textproto")]
+    assert len(paths) >= 3 and all(load(path.read_text())[1] == [] for path in paths)
+    assert {path.stem for path in DAYS.glob("*.textproto")} == {day.value for day in Day}
+    assert load('terminals { member: "x" } servers { count: 1 }')[1] == [
+        "terminals: there is no member 'x', known are []"
+    ]
+
+
+def test_member_within_its_quota_does_not_pay_for_the_others_surplus() -> None:
+    """Plays the small day with members on the real program: the south asks for several times its quota."""
+    scenario, _ = load((DAYS / "charts.textproto").read_text())
+    scenario.seconds = 9.0
+    del scenario.events[:]
+    outcome = asyncio.run(play(scenario))
+    assert outcome.holds, (outcome.broken[:5], outcome.crashed, outcome.errors)
+    served = {name: words.get("UP", 0) / sum(words.values()) for name, words in outcome.members.items()}
+    assert served["north"] > 0.7 and served["south"] < 0.6 * served["north"], outcome.members
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -5,8 +5,33 @@
 import contextlib
 import io
 import re
+import subprocess
+import sys
 from pathlib import Path
 
+ROOT = Path(__file__).parent.parent
+
+
+TOYS = """
+import toy_server as toys
+toys.DISCOVERY = "127.0.0.1", 0
+toys.SERVERS = dict.fromkeys(toys.SERVERS, toys.DISCOVERY)
+toys.main()
+"""
+
+
+def test_toys_start_where_nobody_can_type() -> None:
+    """Guards ``make toy </dev/null``: the selector refuses what is no terminal, and the toys ended with it."""
+    nobody, pipe = subprocess.DEVNULL, subprocess.PIPE
+    command = [sys.executable, "-c", TOYS]
+    with subprocess.Popen(
+        command, stdin=nobody, stdout=pipe, stderr=pipe, text=True, cwd=ROOT / "example"
+    ) as toys:
+        assert toys.stdout is not None and toys.stderr is not None
+        said = toys.stdout.readline()
+        toys.terminate()
+        assert "nobody can type" in said, toys.stderr.read()
+
 
 def test_readme_example_prints_what_it_says() -> None:
     text = (Path(__file__).parent.parent / "README.md").read_text()
