Keep slow messages out of admission: marked everywhere, they would have refused every client

Found by reading after a test of figures met it: a server whose messages take over a third of the shortest aim is marked, and the mark adds 1.0 to its ratio; with nothing placed over 0.85 a site whose messages are that slow at any load would have refused everybody. Full and slow are now two marks: both order servers, only full counts in admission. A quick message no longer erases that a server said it is full.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -22,10 +22,8 @@
 from larchhaven.interface import Effect, ListKind, Result, Scope, State
 
 REPORT_LAG_US = 800_000  # a report shows a server as it was so long before it came: half a refresh, transport
-PROBE_SPEND = 0.006  # points of service (as a fraction) that each request may spend on probes
-PROBES_LEAST, PROBES_MOST = 1, 8  # for each request, should the price be nothing or prohibitive
-FIRST_LOAD = 0.04  # load of a connection before any hint or note has told: about 25 to a standard core
-LEARN = 0.05  # weight of a new sample in learned means
+PROBE_SPEND, PROBES_LEAST, PROBES_MOST = 0.006, 1, 8  # points that a request may spend on probes; how many
+FIRST_LOAD, LEARN = 0.04, 0.05  # a connection's load before any is told; weight of a new sample in means
 RATE_SPAN_US = 5_000_000  # arrivals are counted over several report lags, so that bursts show
 STALE_US = 10_000_000  # a report loses half of what it tells in this time, and the ranking is made anew
 HEAD, HEAD_FRESH_US = 8, 1_000_000
@@ -121,7 +119,8 @@
     ranked_at: int = 0
     ratio: float | None = None  # load over capacity as last reported
     report_at: int = 0
-    slow_until: int = 0
+    slow_until: int = 0  # its messages take long
+    full_until: int = 0  # it turned one away
     conns: dict[int, Conn] = field(default_factory=dict)  # own connections that flow
     relief_at: int = 0  # no probe for a jam before
     moved_until: int = 0  # moves from here do not show yet
@@ -242,7 +241,7 @@
             near, shares = self._band(conn)
             server = self.rng.choices(near, shares)[0] if near else None
             known = server is not None and not conn.midflow and (server.ratio is not None or server.own > 0)
-            if server is not None and known and self._ratio(server) > FILLED:
+            if server is not None and known and self._fill(server) > FILLED:
                 return self._give_up(conn)  # it would jam, and others with it
         alone = server is None and (conn.tried or self.suspended)
         if alone and all(e[2] in conn.tried for e in self.ranking):
@@ -359,7 +358,7 @@
             elif event.result in SERVER_FAULTS and not (quick and event.result is Result.TIMEOUT):
                 self._eject(server)
             elif event.result is Result.FULL:
-                server.slow_until = self.now + SLOW_US
+                server.full_until = self.now + SLOW_US
                 self._reorder(server)
         if conn is None or conn.out != event.attempt:
             return
@@ -493,7 +492,7 @@
         back = not event.on and event.server in self.suspended
         self.suspended = self.suspended | changed if event.on else self.suspended - changed
         if server is not None and back:
-            server.ejected_until, server.slow_until = self.now - PROVEN_US, 0
+            server.ejected_until, server.slow_until, server.full_until = self.now - PROVEN_US, 0, 0
             server.listed = replace(server.listed, started_at=self.now)
             if self.settings.can_probe:
                 self._probe(server)
@@ -502,35 +501,31 @@
 
     def _list_entries(self, entries: Iterable[api.ServerEntry]) -> None:
         for entry in entries:
-            self._reorder(self._list_entry(entry))
-
-    def _list_entry(self, entry: api.ServerEntry) -> Server:
-        server = self.fleet.get(entry.server)
-        if server is None:
-            server = Server(entry.server, self.rng.random(), _short(entry.server, MARK), entry)
-            self.fleet[server.id] = self.marks[server.mark] = server
-        server.listed, state = entry, entry.state
-        if state is State.READY and server.id in self.suspended:
-            state = State.DRAINING
-        restarted = entry.started_at > server.started_at
-        drains = state is State.DRAINING and server.state is not State.DRAINING
-        if state is not State.READY and server.state is State.READY:
-            server.told_at = self.now
-        server.state, server.zone, server.cell = state, entry.zone, entry.cell
-        if drains:
-            self._clear(server, list(server.conns.values()))
-        if state is State.GONE:
-            self._forget_load(server)
-        if server.weight != max(entry.weight, 1e-3):
-            self._forget_report(server)
-            server.weight = max(entry.weight, 1e-3)
-        if restarted:
-            server.started_at = entry.started_at
-            self._forget_load(server)
-            server.warm_at = entry.started_at + self.settings.cold_us if entry.started_at else 0
-            # A random phase keeps all instances from sending their first connection together.
-            self._close_cold(server, self.rng.random())
-        return server
+            server = self.fleet.get(entry.server)
+            if server is None:
+                server = Server(entry.server, self.rng.random(), _short(entry.server, MARK), entry)
+                self.fleet[server.id] = self.marks[server.mark] = server
+            server.listed, state = entry, entry.state
+            if state is State.READY and server.id in self.suspended:
+                state = State.DRAINING
+            restarted = entry.started_at > server.started_at
+            drains = state is State.DRAINING and server.state is not State.DRAINING
+            if state is not State.READY and server.state is State.READY:
+                server.told_at = self.now
+            server.state, server.zone, server.cell = state, entry.zone, entry.cell
+            if drains:
+                self._clear(server, list(server.conns.values()))
+            if state is State.GONE:
+                self._forget_load(server)
+            if server.weight != max(entry.weight, 1e-3):
+                self._forget_report(server)
+                server.weight = max(entry.weight, 1e-3)
+            if restarted:
+                server.started_at = entry.started_at
+                self._forget_load(server)
+                server.warm_at = entry.started_at + self.settings.cold_us if entry.started_at else 0
+                self._close_cold(server, self.rng.random())  # not all instances send their first together
+            self._reorder(server)
 
     def _look(self, conn: Conn) -> None:
         """Refresh the apparently lowest just before placing; a steady sweep would be stale or dear."""
@@ -667,7 +662,12 @@
             ratio += mean + (server.ratio - mean) / (1 + (self.now - server.report_at) / STALE_US)
         if server.zone != self.settings.zone:
             ratio += ZONE_BAND * self.settings.prices.cross_zone
-        return ratio if server.slow_until <= self.now else ratio + FULL_RATIO
+        return ratio if max(server.slow_until, server.full_until) <= self.now else ratio + FULL_RATIO
+
+    def _fill(self, server: Server) -> float:
+        """The ratio without the mark of slow messages, which at some sites are slow at any load."""
+        marked = server.slow_until > self.now >= server.full_until
+        return self._ratio(server) - (FULL_RATIO if marked else 0.0)
 
     def _reorder(self, server: Server) -> None:
         """Put one server in its new place of the ranking, or take it out if it is not ready."""
@@ -792,12 +792,12 @@
         rank = below / len(self.densities) if self.densities else 1.0
         self.densities.append(density)
         usable = [server for _, server in self._usable(conn)]
-        room = [server for server in usable if self._ratio(server) <= FILLED]
+        room = [server for server in usable if self._fill(server) <= FILLED]
         if not room:
             return bool(usable)
         weights = list(accumulate(s.weight for s in room))
-        median = self._ratio(room[bisect_left(weights, weights[-1] / 2)])
-        pressure = min(median, self._ratio(room[0]) + GROUP_BAND)
+        median = self._fill(room[bisect_left(weights, weights[-1] / 2)])
+        pressure = min(median, self._fill(room[0]) + GROUP_BAND)
         return rank < (pressure - REFUSE_FROM) / (REFUSE_ALL - REFUSE_FROM)
 
     def _close_cold(self, server: Server, connections: float) -> None:
