--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import copy
 import json
 import os
 import signal
@@ -11,10 +12,11 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from tests.rig import PATIENCE, ROOT, Proxy, Wire, answer_watch, dial, host, listener, opening
+from tests.rig import PATIENCE, ROOT, SETTINGS, Proxy, Wire, answer_watch, dial, host, listener, opening
 
 PLAIN = "c=chat,d=2000,g=ab"
 
@@ -462,6 +464,34 @@
     assert told in done.stderr and done.stderr.count("\n") == 1
 
 
+@pytest.mark.parametrize(
+    ("members", "quotas", "told"),
+    [
+        ([{"name": "a", "share": -0.5}], [10], "share must not be negative"),
+        ([{"name": "a", "share": 0.5}], [-1], "quota must not be negative"),
+        ([{"name": "a", "share": 0.5}], ["many"], "expected"),
+        ([{"name": "a", "share": "half"}], [10], "expected"),
+    ],
+)
+def test_bad_shares_are_one_plain_line(
+    tmp_path: Path, members: list[dict[str, Any]], quotas: list[Any], told: str
+) -> None:
+    """Guards settings of members, which nothing read before: what makes no sense must not start."""
+    given = copy.deepcopy(SETTINGS)
+    given["parties"] = members
+    given["family_info"]["tenant_quota_connections"] = quotas
+    path = tmp_path / "config.json"
+    config = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "settings": given}
+    path.write_text(json.dumps(config))
+    environment = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+    done = subprocess.run(
+        [sys.executable, "-m", "larchhaven"], cwd=ROOT, env=environment | {"EDGE_CONFIG": str(path)},
+        capture_output=True, text=True,
+    )  # fmt: skip
+    assert done.returncode == 2
+    assert told in done.stderr and done.stderr.count("\n") == 1
+
+
 def test_no_address_but_the_given_one_is_listened_on(proxy: Proxy) -> None:
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(("127.0.0.2", proxy.address[1]))
