Admit by all servers and by slow messages where nobody reports load

Change: where nobody reports, all servers and their slow messages count. Where servers report, nothing changes.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -651,8 +651,7 @@
     def _ratio(self, server: Server) -> float:
         """Estimated load over capacity: the last report, aged, and own changes that it cannot contain."""
         mean = self._mean()
-        # Where nobody reports, the others are taken to have placed as much.
-        unseen = 1 if self.ratio_weight > 1e-6 else min(self.settings.instances, SPEAKS_FOR)
+        unseen = 1 if self.ratio_weight > 1e-6 else min(self.settings.instances, SPEAKS_FOR)  # nobody reports
         ratio = unseen * server.own / server.weight
         if server.ratio is None:
             # Without a report a server is like the mean, not idle; one seen to start is empty.
@@ -665,8 +664,8 @@
         return ratio if max(server.slow_until, server.full_until) <= self.now else ratio + FULL_RATIO
 
     def _fill(self, server: Server) -> float:
-        """The ratio without the mark of slow messages, which at some sites are slow at any load."""
-        marked = server.slow_until > self.now >= server.full_until
+        """The ratio; slow messages, so at any load at some sites, count only where no report tells of it."""
+        marked = server.ratio is not None and server.slow_until > self.now >= server.full_until
         return self._ratio(server) - (FULL_RATIO if marked else 0.0)
 
     def _reorder(self, server: Server) -> None:
@@ -792,12 +791,13 @@
         rank = below / len(self.densities) if self.densities else 1.0
         self.densities.append(density)
         usable = [server for _, server in self._usable(conn)]
-        room = [server for server in usable if self._fill(server) <= FILLED]
+        blind = self.ratio_weight <= 1e-6  # nobody reports, so slow messages are all that tells of the fleet
+        room = [server for server in usable if blind or self._fill(server) <= FILLED]
         if not room:
             return bool(usable)
         weights = list(accumulate(s.weight for s in room))
         median = self._fill(room[bisect_left(weights, weights[-1] / 2)])
-        pressure = min(median, self._fill(room[0]) + GROUP_BAND)
+        pressure = median if blind else min(median, self._fill(room[0]) + GROUP_BAND)
         return rank < (pressure - REFUSE_FROM) / (REFUSE_ALL - REFUSE_FROM)
 
     def _close_cold(self, server: Server, connections: float) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -480,6 +480,9 @@
     b.handle(START, [api.DelayNote(99, 0, f"s{i}", 90_000.0) for i in range(3)])
     sent = b.handle(START + 1, [arrival(n, load=0.001) for n in range(20)])
     assert len(of(api.Send, sent)) == 20
+    b = balancer(3)  # without a report nothing else tells of a jam
+    b.handle(START, [api.DelayNote(99, 0, f"s{i}", 90_000.0) for i in range(3)])
+    assert len(of(api.Refuse, b.handle(START + 1, [arrival(n, load=0.001) for n in range(20)]))) == 20
 
 
 def test_cold_server_that_is_empty_is_used_while_the_others_are_full() -> None:
