--- a/larchhaven/cli/app.py
+++ b/larchhaven/cli/app.py
@@ -22,6 +22,8 @@
 )
 lab = typer.Typer(help="Play a scripted day around real proxies on loopback sockets, and check the rules.")
 app.add_typer(lab, name="lab")
+model = typer.Typer(help="Play the fleet in simulated time: membership at sizes that sockets do not reach.")
+app.add_typer(model, name="model")
 
 Config = Annotated[
     Path | None, typer.Option(help="The platform's JSON file.", envvar="EDGE_CONFIG", show_envvar=True)
@@ -189,6 +191,76 @@
     )
 
 
+@model.command("run")
+def model_run(
+    experiment: Annotated[Path, typer.Argument(help="An experiment, such as example/model/death.textproto.")],
+    seed: Annotated[int | None, typer.Option(help="Another seed than the experiment's.")] = None,
+    json: Json = False,
+) -> None:
+    """Play one experiment. It holds if every death is agreed upon, nobody is wrongly dead, views get equal.
+
+    One seed replays to the last event in any process: the trace that is printed is a digest of all messages.
+
+    Example: larchhaven model run example/model/death.textproto --seed 7
+    """
+    from larchhaven.cli import model as work
+
+    raise typer.Exit(work.play_file(experiment, seed, json))
+
+
+@model.command("sweep")
+def model_sweep(
+    experiment: Annotated[Path, typer.Argument(help="The experiment that is varied.")],
+    members: Annotated[str, typer.Option(help="Sizes, such as 8,50,200; the experiment's if left out.")] = "",
+    loss: Annotated[str, typer.Option(help="Percents lost, such as 0,5,30.")] = "",
+    detector: Annotated[
+        list[str] | None, typer.Option(help="membership or heartbeats; may be given again.")
+    ] = None,
+    seeds: Annotated[int, typer.Option(help="So many seeds from the experiment's on.", min=1)] = 8,
+    jobs: Annotated[int, typer.Option(help="Processes at a time; 0: as many as cores.", min=0)] = 0,
+    out: Annotated[Path, typer.Option(help="Folder for the results.")] = Path("found/model"),
+    json: Json = False,
+) -> None:
+    """Play an experiment at several sizes and losses over seeds, on all cores, and show means with intervals.
+
+    Example: larchhaven model sweep example/model/death.textproto --members 8,50,200 --loss 0,5 --seeds 4
+    """
+    from larchhaven.cli import model as work
+
+    raise typer.Exit(work.sweep(experiment, members, loss, detector or [], seeds, jobs, out, json))
+
+
+@model.command("plot")
+def model_plot(
+    results: Annotated[Path, typer.Argument(help="The folder that a sweep has written.")],
+    out: Annotated[Path, typer.Option(help="The HTML file, plots inside.")] = Path("found/model.html"),
+) -> None:
+    """Draw what a sweep has shown, as one file.
+
+    Example: larchhaven model plot found/model --out found/model.html
+    """
+    from larchhaven.cli import model as work
+
+    raise typer.Exit(work.plot(results, out))
+
+
+@model.command("search")
+def model_search(
+    scene: Annotated[list[str] | None, typer.Option(help="Where to begin; may be given again. All.")] = None,
+    size: Annotated[int, typer.Option(help="Members.", min=3, max=5)] = 3,
+    depth: Annotated[int, typer.Option(help="Steps.", min=0)] = 5,
+    states: Annotated[int, typer.Option(help="At most so many states a scene.", min=1)] = 5000,
+    json: Json = False,
+) -> None:
+    """Try every order, loss and doubling of the messages among a few members, up to a depth.
+
+    Example: larchhaven model search --scene accused --depth 7 --states 20000
+    """
+    from larchhaven.cli import model as work
+
+    raise typer.Exit(work.search(scene or [], size, depth, states, json))
+
+
 def main(arguments: Sequence[str]) -> int:
     """Run the sub-command that the arguments name; return the exit code."""
     try:
--- a/larchhaven/model/experiment.py
+++ b/larchhaven/model/experiment.py
@@ -129,13 +129,10 @@
         others = set(self.who(cut.to, rng)) if cut.HasField("to") else set(range(len(self.world.processes)))
         theirs = others - ours
         made = [network.cut(ours, theirs)] + ([] if cut.one_way else [network.cut(theirs, ours)])
-        if not cut.one_way:
-            self.measure.cut_off(ours, theirs)
 
         def heal() -> None:
             for one in made:
                 network.heal(one)
-            self.measure.cut_off(set(), set())
             self.measure.watch_equal("cut heals")
 
         if does_end:
--- a/larchhaven/model/measure.py
+++ b/larchhaven/model/measure.py
@@ -72,20 +72,16 @@
         self._accused: set[tuple[int, int]] = set()
         self._equal: list[Equal] = []
         self._counts: Counter[str] = Counter()
-        self._sides: tuple[set[int], set[int]] = (set(), set())
         self._settled = (0.0, [(0, 0)] * members)  # when the start was over, and what was sent by then
         world.observe = self._on_change
 
     def _seconds(self) -> float:
         return self._world.now / S
 
-    def cut_off(self, ours: set[int], theirs: set[int]) -> None:
-        """Note a whole cut: those beyond it count as dead rightly."""
-        self._sides = (ours, theirs)
-
     def _is_cut(self, one: int, other: int) -> bool:
-        ours, theirs = self._sides
-        return (one in ours and other in theirs) or (one in theirs and other in ours)
+        """Tell whether nothing gets from one to the other either way: each may count as dead there."""
+        cuts = self._world.network.cuts
+        return any(c.stops(one, other) for c in cuts) and any(c.stops(other, one) for c in cuts)
 
     def died(self, number: int) -> None:
         """Note that a process has ended."""
--- a/larchhaven/soak/report.py
+++ b/larchhaven/soak/report.py
@@ -3,26 +3,17 @@
 from __future__ import annotations
 
 import html
-import io
 from collections.abc import Sequence
 from typing import Any
 
-import matplotlib
 from matplotlib.figure import Figure
 
+from larchhaven.plots import page, svg
 from larchhaven.soak.verdict import Verdict
 
-matplotlib.rcParams["svg.hashsalt"] = "larchhaven"  # the same samples give the same file
 _MB = 1 << 20
 
 
-def _svg(figure: Figure) -> str:
-    out = io.StringIO()
-    figure.savefig(out, format="svg", metadata={"Date": None})
-    text = out.getvalue()
-    return text[text.index("<svg") :]
-
-
 def _sizes(samples: Sequence[dict[str, Any]], warm_s: float, verdict: Verdict) -> str:
     figure = Figure(figsize=(10, 4), layout="constrained")
     axes = figure.subplots()
@@ -37,7 +28,7 @@
     axes.set_ylabel("MB")
     axes.set_ylim(bottom=0)
     axes.legend(loc="lower right")
-    return _svg(figure)
+    return svg(figure)
 
 
 def _purposes(samples: Sequence[dict[str, Any]]) -> str:
@@ -53,7 +44,7 @@
         axes.set_title(f"{name}, KB (cap dashed)", fontsize=9)
         axes.tick_params(labelsize=8)
         axes.set_ylim(bottom=0)
-    return _svg(figure)
+    return svg(figure)
 
 
 def write(title: str, samples: Sequence[dict[str, Any]], warm_s: float, verdict: Verdict) -> str:
@@ -74,14 +65,11 @@
     )
     complaints = "".join(f"<li>{html.escape(text)}</li>" for text in verdict.complaints)
     word = "does not hold" if complaints else "holds"
-    return f"""<!doctype html><html lang="en"><meta charset="utf-8"><title>{html.escape(title)}</title>
-<style>body{{font:15px sans-serif;max-width:64em;margin:2em auto}}td,th{{padding:.2em 1em;text-align:right}}
-td:first-child{{text-align:left}}svg{{max-width:100%;height:auto}}</style>
-<h1>{html.escape(title)}: {word}</h1><ul>{complaints}</ul>
+    body = f"""<ul>{complaints}</ul>
 <p>Peak {verdict.resident_peak / _MB:.2f} MB of {verdict.grant / _MB:.0f} MB granted; at most
 {verdict.unaccounted_most >> 10} KB that no purpose explains.</p>
 <table><tr><th>size<th>mean<th>slope<th>95% interval</tr>{"".join(rows)}</table>
 {_sizes(samples, warm_s, verdict)}
 <h2>By purpose</h2><table><tr><th>purpose<th>cap, KB<th>most, KB<th>refused</tr>{caps}</table>
-{_purposes(samples)}</html>
-"""
+{_purposes(samples)}"""
+    return page(f"{title}: {word}", body)
