--- a/larchhaven/cli/app.py
+++ b/larchhaven/cli/app.py
@@ -104,6 +104,23 @@
     raise typer.Exit(work.show_plan(grant, sockets, start, operator, json))
 
 
+@app.command()
+def members(
+    address: Annotated[str, typer.Argument(help="HOST:PORT of a running proxy's mgmt.")],
+    watch: Annotated[bool, typer.Option(help="Show the view again whenever it changes.")] = False,
+    json: Json = False,
+) -> None:
+    """Show which of the proxies are there, as one of them sees it: state, since when, accused by whom.
+
+    It holds if the view is sure, nobody is accused or dead, and this is no minority of a cut.
+
+    Example: larchhaven members 127.0.0.1:9100 --watch
+    """
+    from larchhaven.cli import members as work
+
+    raise typer.Exit(work.show(address, watch, json))
+
+
 class Day(StrEnum):
     """The small days that come with the program."""
 
--- a/larchhaven/cli/memory.py
+++ b/larchhaven/cli/memory.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import http.client
 import subprocess
 import sys
 from pathlib import Path
 
 import msgspec
 
+from larchhaven.cli.calls import CallError, get
 from larchhaven.memory import plan
 from larchhaven.memory.purposes import ABOUT, COMMAND, STREAM, Purpose
 from larchhaven.net.accounting import MemoryState
@@ -16,7 +16,6 @@
 _MEASURE = (
     "from larchhaven.net import node; from larchhaven.net.accounting import resident; print(resident())"
 )
-TIMEOUT_S = 10.0
 
 
 def measured_start() -> int:
@@ -75,24 +74,12 @@
 
 def show_live(address: str, as_json: bool) -> int:
     """Print a running proxy's account; return the exit code."""
-    host, _, port = address.rpartition(":")
-    if not port.isdigit() or not host:
-        print(f"larchhaven memory: --live must be HOST:PORT, not {address!r}", file=sys.stderr)
-        return 2
-    caller = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
     try:
-        caller.request("GET", "/v1/memory")
-        answer = caller.getresponse()
-        body = answer.read()
-        if answer.status != 200:
-            print(f"larchhaven memory: {address} answers {answer.status}", file=sys.stderr)
-            return 2
+        body = get(address, "/v1/memory")
         state = msgspec.json.decode(body, type=MemoryState)
-    except (OSError, http.client.HTTPException, msgspec.DecodeError) as error:
-        print(f"larchhaven memory: {address}: {error}", file=sys.stderr)
+    except (CallError, msgspec.DecodeError) as error:
+        print(f"larchhaven memory: {error}", file=sys.stderr)
         return 2
-    finally:
-        caller.close()
     over = [name for name, line in state.purposes.items() if line.used > line.cap]
     if as_json:
         print(body.decode())
--- a/larchhaven/lab/proxy.py
+++ b/larchhaven/lab/proxy.py
@@ -124,7 +124,9 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal."""
         if self._process is not None and self.running:
-            self._process.send_signal(number)
+            # Not by the process object: it would look for the end that the loop waits for, and take it away.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, number)
 
     async def end(self, patience: float = 10.0) -> int | None:
         """Stop the program in an orderly way, else at once; return its exit code."""
--- a/larchhaven/membership/core.py
+++ b/larchhaven/membership/core.py
@@ -244,6 +244,13 @@
                 self._send(Kind.NEWS, number)
         return self._done()
 
+    def hear_of_me(self, now: int, entry: Entry) -> list[Action]:
+        """Hear of an earlier life of this member by another way than messages: an upgrade, a file."""
+        self._look(now)
+        self._at = now
+        self._hear_of_me(entry)
+        return self._done()
+
     # One's own time
 
     def _look(self, now: int) -> None:
--- a/larchhaven/net/handover.py
+++ b/larchhaven/net/handover.py
@@ -46,6 +46,7 @@
     v: int
     reports: list[tuple[str, int, api.Report]]
     identities: list[bytes]
+    incarnation: int = 0  # in the membership; 0: it was off
 
 
 class Identity(msgspec.Struct, tag=True):
--- a/larchhaven/net/management.py
+++ b/larchhaven/net/management.py
@@ -40,6 +40,9 @@
     def memory(self) -> bytes:
         """Return the memory account as JSON."""
 
+    def members(self) -> bytes:
+        """Return what is known of the other proxies, as JSON."""
+
     def suspend(self, host: str, on: bool) -> HTTPStatus:
         """Take an instance out, or let it serve again."""
 
@@ -164,7 +167,7 @@
         match path.decode("utf-8", "replace").split("/"):
             case ["", "v1", "readyz"]:
                 allowed = "GET"
-            case ["", "v1", "metrics" | "memory"]:
+            case ["", "v1", "metrics" | "memory" | "members"]:
                 allowed = "GET"
             case ["", "v1", "exam-servers", _, "suspend" | "resume"]:
                 allowed = "POST"
@@ -185,6 +188,8 @@
                 return HTTPStatus.OK, office.figures()
             case ["memory"]:
                 return HTTPStatus.OK, office.memory()
+            case ["members"]:
+                return HTTPStatus.OK, office.members()
             case ["exam-servers", host, what]:
                 return office.suspend(unquote(host), what == "suspend"), b""
         office.drain(words[-1] == "drain")
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -30,6 +30,7 @@
 from larchhaven.net.handover import VERSION, Handover, Known, Standing, mark
 from larchhaven.net.loop import Loop
 from larchhaven.net.management import DESCRIPTORS, Management
+from larchhaven.net.members import MembersSwitch
 from larchhaven.net.notices import KINDS_MOST, Notices
 from larchhaven.net.operator_file import OperatorFile
 from larchhaven.net.peers import Peers
@@ -38,6 +39,7 @@
 from larchhaven.net.rooms import Rooms
 from larchhaven.net.suspensions import Suspensions
 from larchhaven.operator.settings import Complaint, Reading, Settings
+from larchhaven.sharing.lookout import is_shared
 from larchhaven.sharing.messages import is_readable
 
 # The parts of the memory for tables that what only helps may fill: it is forgotten, the oldest first.
@@ -122,6 +124,7 @@
                 self._count_strange,
             )
         self._handover = Handover(loop, notices, folder if shared else "", self, account)
+        self._members = MembersSwitch(loop, config, self._tell_member, is_shared(settings))
 
         def begin(token: int, first_line: bytes, address: tuple[str, int], wait_us: int) -> TextExecution:
             return TextExecution(
@@ -196,6 +199,7 @@
             (Purpose.TABLES, "servers"): lambda: directory.members() * purposes.SERVER,
             (Purpose.TABLES, "hosts listed"): lambda: directory.listed() * purposes.HOST_ONCE,
             (Purpose.TABLES, "holders"): lambda: broker.holders() * purposes.HOLDER,
+            (Purpose.PEERS, "members"): self._members.used,
             (Purpose.LOG, "notices"): lambda: self._notices.kinds() * purposes.NOTICE,
         }
 
@@ -213,6 +217,7 @@
     def _open(self) -> None:
         self._accounting.begin()
         self._listener.open()
+        self._members.begin()
         host, port = self._listener.address
         if self._management is not None:
             _log.info("management at %s:%d", *self._management.address)
@@ -222,6 +227,8 @@
         self._broker.turn()
         if self._stopping and self._handover.has_younger:
             self._pass_on()
+        if self._members.handed_on and not self._handover.has_younger:
+            self._members.go_on()
 
     def _descriptors(self) -> int:
         """Take what the configuration grants, as far as the system lets us."""
@@ -249,6 +256,8 @@
         self._broker.queue(api.ProbeResult(host, result, latency_us, report))
 
     def _on_peer(self, sender: int, data: bytes) -> None:
+        if self._members.on_datagram(sender, data):
+            return
         if is_readable(data):
             self._broker.queue(api.PeerMessage(sender, data))
         else:
@@ -263,16 +272,22 @@
             self._peers.tell(peer, data)
         self._handover.tell(data)
 
+    def _tell_member(self, peer: int, data: bytes) -> None:
+        if self._peers is not None:
+            self._peers.tell(peer, data)
+
     # The other process of an upgrade
 
     def known(self) -> Known:
         """Return what the younger process must know; suspensions are in their file."""
         self.on_heard(STARTED)  # our decision module tells the other what it has learnt
         reports = [(host, at, report) for host, (at, report) in self._reports.items()]
-        return Known(VERSION, reports, [mark(identity) for identity in self._broker.identities()])
+        identities = [mark(identity) for identity in self._broker.identities()]
+        return Known(VERSION, reports, identities, self._members.hand_on())
 
     def on_known(self, known: Known) -> None:
         """Take what the older process knows: its reports are as old as they are."""
+        self._members.take_over(known.incarnation)
         for host, at, report in known.reports:
             age = max(self._loop.now - at, 0)
             self._broker.queue(api.ProbeResult(host, api.Result.OK, age, report))
@@ -341,6 +356,10 @@
         descriptors = Descriptors(rooms.descriptors, self._loop.sockets(), rooms.refused_descriptors)
         return msgspec.json.encode(self._accounting.state(descriptors))
 
+    def members(self) -> bytes:
+        """Return what is known of the other proxies, as JSON."""
+        return self._members.state()
+
     def suspend(self, host: str, on: bool) -> HTTPStatus:
         """Take an instance out, or let it serve again; the yes comes when it is saved and heeded."""
         if not self._directory.was_listed(host) and host not in self._suspensions:
@@ -421,6 +440,7 @@
         self._rooms.admission.reserve_share = own.reserve_share
         self._listener.unread_us = own.unread_us
         self._notices.quiet_us = own.quiet_us
+        self._members.apply(own)
         if own.log_json != self._logs_json:
             logs.set_up(own.log_json)
             self._logs_json = own.log_json
@@ -438,6 +458,7 @@
             return
         self._stopping = True
         _log.info("told to stop")
+        self._members.leave()
         if self._config.socket_fd is not None:
             # Whoever comes now waits in the socket for the process that holds it next.
             self._listener.stop()
--- a/larchhaven/operator/read.py
+++ b/larchhaven/operator/read.py
@@ -32,6 +32,13 @@
     settings.log_json = log.form == Log.JSON
     if log.HasField("quiet_seconds"):
         settings.quiet_us = int(log.quiet_seconds * 1e6)
+    membership = message.membership
+    settings.membership = membership.on
+    settings.member_keys = [key for key in (membership.key, membership.key_too) if key]
+    if membership.on and not membership.key:
+        line, column = found.places.get("membership.on", (0, 0))
+        why = "'membership.on' needs 'membership.key': write 16 to 64 characters, the same at all proxies"
+        return Reading(Settings(), [Complaint(line, column, why)])
     return Reading(settings, [], found.places.get("memory", (0, 0)))
 
 
--- a/larchhaven/operator/settings.py
+++ b/larchhaven/operator/settings.py
@@ -25,6 +25,8 @@
     unread_us: int = 5_000_000
     log_json: bool = False
     quiet_us: int = 10_000_000
+    membership: bool = False
+    member_keys: list[str] = []  # the first proves one's own messages
 
 
 class Reading(msgspec.Struct):
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -37,7 +37,7 @@
     ("text", "complaints"),
     [
         ("memory { bufers: 3 }", ["1:10: 'memory' has no field 'bufers': write 'buffers'"]),
-        ("what: 1", ["1:1: the file has no field 'what': known are memory, admission, log"]),
+        ("what: 1", ["1:1: the file has no field 'what': known are memory, admission, log, membership"]),
         ("\n memory {\n  tables: 0.1\n }", ["3:11: 'memory.tables' is 0.1 MB: write 0.5 to 4096 MB"]),
         ("log { quiet_seconds: -1 }", ["1:22: 'log.quiet_seconds' is -1 s: write 1 to 3600 s"]),
         ("log { quiet_seconds: nan }", ["1:22: 'log.quiet_seconds' is a finite number"]),
@@ -56,7 +56,7 @@
         (
             "x { a: [1, {}] b < c: -2 > } memory { kernel: [1] files: {} }",
             [
-                "1:1: the file has no field 'x': known are memory, admission, log",
+                "1:1: the file has no field 'x': known are memory, admission, log, membership",
                 "1:47: 'memory.kernel' is a number, not a group or a list",
                 "1:58: 'memory.files' is a number, not a group or a list",
             ],
