--- a/larchhaven/lab/proxy.py
+++ b/larchhaven/lab/proxy.py
@@ -6,6 +6,7 @@
 import contextlib
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -17,17 +18,34 @@
 _SAYS = re.compile(r"(listens|management) at (.*?):(\d+)")
 START_S = 30.0
 LOG_KEPT = 2_000
+PORTS = 12_000
+_random = random.SystemRandom()
 
 
 class NotStartedError(Exception):
     """The program ended before it listened; the text is its log."""
 
 
+def _own_ports() -> range:
+    """Return ports below those that the system deals out by itself: none of them is taken by chance."""
+    try:
+        first = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    except (OSError, ValueError, IndexError):
+        first = 32_768
+    return range(max(first - PORTS, 1_024), max(first, 1_024 + PORTS))
+
+
 def free_port() -> int:
-    """Return a port that was free a moment ago."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port that was free a moment ago, for datagrams and connections."""
+    while True:
+        port = _random.choice(_own_ports())
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock, socket.socket() as other:
+            try:
+                sock.bind(("127.0.0.1", port))
+                other.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 class Proxy:
--- a/larchhaven/lab/tier.py
+++ b/larchhaven/lab/tier.py
@@ -55,6 +55,8 @@
     folder: Path
     seed: int = 1
     zones: int = 3
+    on: bool = True  # as the operators' file says at the start
+    may_tell: bool = True  # as the platform's settings say
     network: Network = field(init=False)
     proxies: list[Proxy] = field(init=False, default_factory=list)
     steps: list[Step] = field(init=False, default_factory=list)
@@ -77,7 +79,7 @@
             own = settings(scenario, number)
             own |= {"instances": self.size, "zones": [f"z{i}" for i in range(self.zones)]}
             own["zone"] = number % self.zones
-            own["policy_limits"] |= {"may_tell": True}
+            own["policy_limits"] |= {"may_tell": self.may_tell}
             peers = self.network.peers(number)
             configuration: dict[str, Any] = {
                 "name": f"n{number}", "listen": "127.0.0.1:0", "mgmt": "127.0.0.1:0",
@@ -87,7 +89,7 @@
                 "known": {"seq": 1, "whole": True, "hosts": [self._discovery.entry("s0")]},
             }  # fmt: skip
             proxy = Proxy(f"n{number}", self.folder / f"n{number}", configuration)
-            proxy.operator_file.write_text(operator_text())
+            proxy.operator_file.write_text(operator_text(on=self.on))
             self.proxies.append(proxy)
         room = asyncio.Semaphore(STARTS_AT_ONCE)
 
@@ -149,9 +151,10 @@
         proxy = self.proxies[number]
         await proxy.end()
         if fresh:
+            text = proxy.operator_file.read_text()  # the operators' own: all else is gone
             shutil.rmtree(proxy.folder)
             proxy.folder.mkdir()
-            proxy.operator_file.write_text(operator_text())
+            proxy.operator_file.write_text(text)
         proxy.address = ("", 0)
         await proxy.start()
         self.stopped.discard(number)
--- a/larchhaven/membership/core.py
+++ b/larchhaven/membership/core.py
@@ -345,6 +345,9 @@
         if state_of(mark) is State.SUSPECT:
             here = len(self._here_others()) + 1
             self._suspicions[number] = Suspicion.begin(self._at, by, here, self.tuning)
+            # Some look next, whoever they are: waiting for all to come round could take seconds by chance.
+            if by != self.me and self._rng.random() * here < 2 * self.tuning.confirmations:
+                self._round.append(number)
         else:
             self._suspicions.pop(number, None)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -316,6 +316,7 @@
     """Guards against an end by SIGHUP, and against a version of the old address that mutes the new one."""
     client, instance = proxy.opened(f"{PLAIN},at=s1")
     old = Wire(proxy.discovery.accept()[0])
+    assert old.sock.recv(1, socket.MSG_PEEK)  # the call is out before the address changes
     moved = listener()
     proxy.configuration["discovery"] = dial(moved)
     if first == "is not there":
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -171,6 +171,9 @@
 @pytest.mark.parametrize("said", [b"\xff\x00garbage", b"x" * 200_000, msgspec.msgpack.encode(Hello(99))])
 def test_stranger_at_the_upgrade_socket_changes_nothing(older: Proxy, tmp_path: Path, said: bytes) -> None:
     folder = os.open(tmp_path, os.O_RDONLY)
+    while not (tmp_path / "larchhaven-upgrade.sock").exists():
+        assert older.process.poll() is None  # it listens to clients a moment earlier
+        time.sleep(0.01)
     with socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET) as stranger:
         stranger.settimeout(PATIENCE)
         stranger.connect(f"/proc/self/fd/{folder}/larchhaven-upgrade.sock")
