--- a/tests/rig.py
+++ b/tests/rig.py
@@ -18,6 +18,8 @@
 from pathlib import Path
 from typing import Any
 
+from larchhaven.lab.proxy import free_port
+
 PATIENCE = 20.0  # seconds until a test gives up; none measures how long something takes
 _numbers = itertools.count()
 ROOT = Path(__file__).parent.parent
@@ -106,9 +108,7 @@
             self.peer = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             self.peer.bind(("127.0.0.1", 0))
             self.peer.settimeout(PATIENCE)
-            with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
-                free.bind(("127.0.0.1", 0))
-                own = dial(free)
+            own = f"127.0.0.1:{free_port()}"
             self.configuration |= {"peer_listen": own, "peers": [own, dial(self.peer)]}
         self.path = folder / "config.json"
         self.start()
@@ -122,6 +122,9 @@
     def start(self) -> None:
         self.path.write_text(json.dumps(self.configuration))
         environment = {**os.environ, "EDGE_CONFIG": str(self.path), "TMPDIR": str(self.folder)}
+        operator = self.folder / "operator.textproto"
+        if operator.exists():
+            environment["EDGE_OPERATOR"] = str(operator)
         descriptors = [self.held.fileno()] if self.held is not None else []
         if descriptors:
             environment["EDGE_SOCKET_FD"] = str(descriptors[0])
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import os
 import signal
 import socket
@@ -12,12 +13,16 @@
 import msgspec
 import pytest
 
+from larchhaven.membership.gate import Gate
+from larchhaven.membership.member import State, stamp
+from larchhaven.membership.messages import OURS, Kind, Message, decode
 from larchhaven.net.handover import VERSION, Handover, Hello, Known, Standing
 from larchhaven.net.loop import Loop
 from larchhaven.net.notices import Notices
 from tests.rig import PATIENCE, Proxy, opening
 
 PLAIN = "c=chat,d=2000,g=ab"
+KEY = hashlib.blake2b(b"a key for this test", digest_size=32).digest()
 
 
 @pytest.fixture
@@ -229,3 +234,41 @@
         one.handover.identity(b"id", False)
         loop.turn()
         assert not other.handover.is_open_elsewhere(b"id")
+
+
+def heard(peer: socket.socket, life: int | None = None, besides: int | None = None) -> Message:
+    """Wait for what a process says of itself: one of this life, or of any other than that one."""
+    for _ in range(2_000):
+        data = peer.recv(300)
+        if data[:1] != OURS:
+            continue  # the decision module's
+        message = decode(data, [KEY])
+        if message.stamp and life in (None, message.life) and message.life != besides:
+            return message
+    raise AssertionError("only others speak")
+
+
+def test_incarnation_is_handed_on_and_one_process_speaks(tmp_path: Path) -> None:
+    """Guards against two processes that accuse each other, and a proxy that nobody speaks for."""
+    (tmp_path / "operator.textproto").write_text('membership { on: true key: "a key for this test" }')
+    older = Proxy(tmp_path, held=True, instances=2, policy_limits={"may_tell": True})
+    first = heard(older.peer)
+    younger = older.beside()
+    second = heard(older.peer, besides=first.life)
+    assert second.stamp >> 2 > first.stamp >> 2 and second.stamp & 3 == State.ALIVE
+    younger.process.kill()
+    younger.process.communicate()
+    third = heard(older.peer, besides=second.life)
+    while third.life == first.life and third.stamp <= second.stamp:
+        third = heard(older.peer, besides=second.life)  # what was in the socket
+    assert third.stamp >> 2 > first.stamp >> 2
+    host, port = older.configuration["peer_listen"].split(":")
+    speaks = Message(Kind.NEWS, 1, 0, stamp(5, State.ALIVE))
+    older.peer.sendto(Gate(1, 2, 7, [KEY]).write(speaks), (host, int(port)))
+    while len(older.call("GET", "/v1/members")[1]["members"]) < 2:
+        time.sleep(0.01)
+    older.process.send_signal(signal.SIGTERM)
+    while heard(older.peer, life=third.life).stamp & 3 != State.LEFT:
+        pass
+    assert older.process.wait(PATIENCE) == 0
+    assert "Traceback" not in older.close()
