--- a/larchhaven/membership/core.py
+++ b/larchhaven/membership/core.py
@@ -694,7 +694,7 @@
     return (about.started, about.name, about.zone, about.version, int(about.can))
 
 
-@lru_cache(maxsize=2048)
+@lru_cache(maxsize=512)
 def _digest(number: int, mark: int, about: About | None = None) -> int:
     data = f"{number} {mark} {_order(about)}".encode()
     return int.from_bytes(blake2b(data, digest_size=4).digest(), "big")
--- a/larchhaven/net/members.py
+++ b/larchhaven/net/members.py
@@ -19,11 +19,16 @@
 # What datagrams of the membership begin with.
 LETTER = b"M"
 # Bytes that a place in the table of peers takes while it is on. Measured by benchmarks/membership_costs.py.
-PLACE = 1_400
+PLACE = 1_500
 
 _log = logging.getLogger("larchhaven")
 
 
+def proof(key: str) -> bytes:
+    """Return the key of the messages' proof from what operators write, which may be of any length."""
+    return hashlib.blake2b(key.encode(), digest_size=32).digest()
+
+
 class MembersSwitch:
     """Turns the membership on and off.
 
@@ -72,7 +77,7 @@
         self._turn()
 
     def _turn(self) -> None:
-        keys = [hashlib.blake2b(key.encode(), digest_size=32).digest() for key in self._own.member_keys]
+        keys = [proof(key) for key in self._own.member_keys]
         off = self.why_off()
         if self.members is not None:
             if off:
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -81,6 +81,9 @@
         settings = config.settings
         self._loop = loop = Loop()
         grant = int(config.limits.memory_mb * plan.MB)
+        if own.membership:
+            # Before the program's own size is taken: what is loaded for it is not for clients to use.
+            import larchhaven.net.membership  # noqa: F401
         self._start = resident()
         try:
             caps = plan.make(grant, self._start, config.limits.sockets, _wanted(own))
--- a/tests/test_tier.py
+++ b/tests/test_tier.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import signal
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -14,6 +13,7 @@
 from larchhaven.membership.gate import Gate
 from larchhaven.membership.member import State, stamp
 from larchhaven.membership.messages import LONGEST, Entry, Kind, Message
+from larchhaven.net.members import proof
 
 # Generous, so that a busy machine gives the same verdict; nothing is expected to take a least time.
 SOON, LATER = 20.0, 40.0
@@ -67,7 +67,7 @@
 async def forged(tier: Tier) -> None:
     """What no member sent, was cut short, was heard before, or a later version sends: counted only."""
     before = await tier.view(0)
-    key = hashlib.blake2b(KEY.encode(), digest_size=32).digest()
+    key = proof(KEY)
     kill = Message(Kind.NEWS, 1, 0, 1 << 20, entries=(Entry(2, stamp(1 << 29, State.DEAD), 1),))
     stolen, gate = Gate(1, 8, 5, (b"another key",)), Gate(1, 8, 5, (key,))
     right = gate.write(Message(Kind.NEWS, 1, 0, stamp(1, State.ALIVE)))
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import os
 import signal
 import socket
@@ -18,11 +17,12 @@
 from larchhaven.membership.messages import OURS, Kind, Message, decode
 from larchhaven.net.handover import VERSION, Handover, Hello, Known, Standing
 from larchhaven.net.loop import Loop
+from larchhaven.net.members import proof
 from larchhaven.net.notices import Notices
 from tests.rig import PATIENCE, Proxy, opening
 
 PLAIN = "c=chat,d=2000,g=ab"
-KEY = hashlib.blake2b(b"a key for this test", digest_size=32).digest()
+KEY = proof("a key for this test")
 
 
 @pytest.fixture
