--- a/larchhaven/membership/core.py
+++ b/larchhaven/membership/core.py
@@ -12,11 +12,12 @@
 
 from __future__ import annotations
 
-from collections import Counter, deque
+from collections import Counter, OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from functools import lru_cache
 from hashlib import blake2b
+from itertools import islice
 from typing import Protocol
 
 from larchhaven.membership.member import (
@@ -47,6 +48,8 @@
 # Pieces of comparisons that wait to be sent, and pings under way for others; beyond, the oldest is dropped.
 WAITING_MOST = 128
 HELPING_MOST = 64
+# Bytes of the shortest account: so many may fit into a message at most.
+_TALE_LEAST = told_size(About())
 # Messages that may be sent beyond the budget when they answer somebody: a silent member looks dead.
 ANSWERS_BEYOND = 50.0
 # Rounds in which a planned stop is told, and to how many each.
@@ -137,8 +140,10 @@
         self._round: list[int] = []
         self._helping: dict[int, _Help] = {}
         self._suspicions: dict[int, Suspicion] = {}
-        self._news: dict[int, _News] = {}
-        self._tales: dict[int, int] = {}  # accounts to be passed on, and how often they were
+        self._news: OrderedDict[int, _News] = OrderedDict()  # what is to be told next is first
+        self._tales: OrderedDict[int, int] = (
+            OrderedDict()
+        )  # accounts to be passed on, and how often they were
         self._waiting: deque[Message] = deque()
         self._gossip_at = now
         self._join_until = now + tuning.join
@@ -408,12 +413,13 @@
 
     def _spread(self, entry: Entry) -> None:
         self._news[entry.number] = _News(entry)
+        self._news.move_to_end(entry.number, last=False)  # before all that was told already
 
     def _often(self) -> int:
         return self.tuning.spread * max(self.size, 2).bit_length()
 
     def _riders(self, to: int, room: int, always: bool) -> tuple[tuple[Entry, ...], tuple[Told, ...]]:
-        """Choose the news that rides on a message: what concerns its reader first, then the least told.
+        """Choose the news that rides on a message: what concerns its reader first, then each in turn.
 
         The reader is told of itself where it is accused, so that it can clear itself, or ``always``: it may
         be a newcomer that is to take an incarnation above its last one.
@@ -421,18 +427,16 @@
         often = self._often()
         rarely = often // self.tuning.spread  # accounts can wait for the next comparison
         most = min(room // 8, ENTRIES_MOST)
-        chosen = sorted(self._news.values(), key=lambda n: (n.entry.number != to, n.sent))[:most]
-        entries = [news.entry for news in chosen]
+        chosen = list(islice(self._news, most))
         known = self.view.get(to)
-        if known is not None and to not in self._news and (always or known.state is State.SUSPECT):
+        if to in self._news:
+            chosen = [to, *(number for number in chosen if number != to)][:most]
+        entries = [self._ride(number, often) for number in chosen]
+        if known is not None and to not in chosen and (always or known.state is State.SUSPECT):
             entries = [self._entry(known), *entries][:most]
-        for news in chosen:
-            news.sent += 1
-            if news.sent >= often:
-                del self._news[news.entry.number]
         room -= 8 * len(entries)
         told = []
-        for number in sorted(self._tales, key=self._tales.__getitem__):
+        for number in list(islice(self._tales, room // _TALE_LEAST)):
             member = self.view.get(number)
             if member is None or member.about is None:
                 del self._tales[number]
@@ -444,8 +448,20 @@
             self._tales[number] += 1
             if self._tales[number] >= rarely:
                 del self._tales[number]
+            else:
+                self._tales.move_to_end(number)
         return tuple(entries), tuple(told)
 
+    def _ride(self, number: int, often: int) -> Entry:
+        """Count that a piece of news is told once more, and put it behind the others."""
+        news = self._news[number]
+        news.sent += 1
+        if news.sent >= often:
+            del self._news[number]
+        else:
+            self._news.move_to_end(number)
+        return news.entry
+
     # Sending
 
     def _refill(self) -> None:
