--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from functools import partial
-from itertools import accumulate, takewhile
+from itertools import accumulate, islice, takewhile
 from zlib import crc32
 
 from larchhaven import interface as api
@@ -149,6 +149,7 @@
         self.open: Counter[int] = Counter()  # own connections that flow, by tenant
         self.quotas = [*(tenant.quota_connections for tenant in settings.tenants), 0.0]
         self.suspended: set[str] = set()  # ids that operators have taken out
+        self.present = frozenset(range(settings.instances))  # the instances that are not known to be gone
         self.tells = settings.can_tell and settings.pass_through and settings.instances > 1
         self.timers: dict[int, Callable[[], None]] = {}
         self.class_load = [FIRST_LOAD] * len(settings.classes)
@@ -172,7 +173,7 @@
             api.LoadNote: self._on_load_note, api.DelayNote: self._on_delay_note,
             api.Stalled: self._on_stalled, api.Leaving: self._on_leaving, api.Suspended: self._on_suspended,
             api.ClientGone: self._on_client_gone, api.Established: self._on_established,
-            api.AttemptEnded: self._on_ended,
+            api.AttemptEnded: self._on_ended, api.Present: self._on_present,
         }  # fmt: skip
 
     def handle(self, now: int, events: Iterable[api.Event]) -> Sequence[api.Action]:
@@ -608,12 +609,15 @@
         if len(self.holders) > self.settings.holders_most:
             del self.holders[next(iter(self.holders))]
 
+    def _on_present(self, event: api.Present) -> None:
+        self.present = event.instances
+
     def _keepers(self, tag: bytes) -> list[int]:
-        """The other instances that are told where a connection stands."""
-        count, first = self.settings.instances, int.from_bytes(tag, "big")
-        if count < MANY:
-            return [(self.settings.index + 1) % count]
-        return [p for j in range(KEEPERS) if (p := (first + j) % count) != self.settings.index]
+        """The other instances that are told where a connection stands: the next that are present."""
+        count, own = self.settings.instances, self.settings.index
+        first, many = (int.from_bytes(tag, "big"), KEEPERS) if count >= MANY else (own + 1, 1)
+        ring = (p for j in range(count) if (p := (first + j) % count) in self.present)
+        return [p for p in islice(ring, many) if p != own]
 
     def _tell_held(self, peer: int, tags: Sequence[bytes]) -> None:
         entries = [tag + self.holders[tag] for tag in tags if tag in self.holders]
@@ -651,7 +655,7 @@
     def _ratio(self, server: Server) -> float:
         """Estimated load over capacity: the last report, aged, and own changes that it cannot contain."""
         mean = self._mean()
-        unseen = 1 if self.ratio_weight > 1e-6 else min(self.settings.instances, SPEAKS_FOR)  # nobody reports
+        unseen = 1 if self.ratio_weight > 1e-6 else min(len(self.present), SPEAKS_FOR)  # nobody reports
         ratio = unseen * server.own / server.weight
         if server.ratio is None:
             # Without a report a server is like the mean, not idle; one seen to start is empty.
@@ -681,8 +685,7 @@
     def _rank_all(self) -> None:
         """Rank every ready server anew; between these, only servers with news change their place."""
         for server in self.fleet.values():
-            ready = server.state is State.READY
-            server.entry = (self._ratio(server), server.tie, server) if ready else None
+            server.entry = (self._ratio(server), server.tie, server) if server.state is State.READY else None
             server.ranked_at = self.now
         self.ranking = sorted(s.entry for s in self.fleet.values() if s.entry is not None)
         self.ranked_at = self.now
@@ -703,8 +706,7 @@
         # expected of the others meanwhile is poured over the lowest ratios as water would settle.
         poured = conn.load + self._expected_from_others()
         level, capacity, filled = 0.0, 0.0, 0.0
-        near: list[Server] = []
-        ratios: list[float] = []
+        near: list[tuple[float, Server]] = []
         for ratio, server in usable:
             need = (ratio - level) * capacity
             if filled + need > poured:
@@ -712,12 +714,11 @@
             filled += need
             level = ratio
             capacity += server.weight
-            near.append(server)
-            ratios.append(ratio)
+            near.append((ratio, server))
         if near:
             level += (poured - filled) / capacity
-        shares = [max(level - r, 1e-9) * s.weight for r, s in zip(ratios, near, strict=True)]
-        return near, shares
+        shares = [max(level - r, 1e-9) * s.weight for r, s in near]
+        return [s for _, s in near], shares
 
     def _usable(self, conn: Conn) -> Iterator[tuple[float, Server]]:
         """The ready servers that a request may go to now, lowest first, with the ratio that it would meet."""
@@ -744,7 +745,7 @@
         """Load that the other instances place within the time that a report lags, were they like this one."""
         self._drop_arrivals()  # the one in hand says nothing of the rate; with no other, some are expected
         placed = max(len(self.arrivals) - 1, 0.5) * REPORT_LAG_US / RATE_SPAN_US * self.mean_load
-        return (self.settings.instances - 1) * placed
+        return (len(self.present) - 1) * placed
 
     def _drop_arrivals(self) -> None:
         while self.arrivals and self.arrivals[0] < self.now - RATE_SPAN_US:
@@ -784,7 +785,7 @@
         """Refuse early rather than jam: the least worth for its load first."""
         limits, worth = self.settings, self.settings.classes[conn.cls].worth
         quota = self.quotas[min(conn.tenant, len(limits.tenants))]
-        if limits.tenants and quota <= self.open[conn.tenant] * limits.instances:
+        if limits.tenants and quota <= self.open[conn.tenant] * len(self.present):
             worth *= limits.over_share_worth  # that of one who is no tenant is past any share
         density = worth if limits.worth_by_work else worth / max(conn.load, 1e-6)
         below = sum((d < density) + 0.5 * (d == density) for d in self.densities)
@@ -806,7 +807,7 @@
         if server.warm_at <= self.now:
             return
         first, cold = self.settings.cold_from, self.settings.cold_us
-        pace = COLD_FILL * server.weight / max(self.mean_load, 1e-6) / cold / self.settings.instances
+        pace = COLD_FILL * server.weight / max(self.mean_load, 1e-6) / cold / len(self.present)
         age = max(self.now - server.started_at, 0)
         growth = max(1 - first, 1e-9) / (2 * cold)
         due = first * age + growth * age * age + connections / pace
--- a/larchhaven/interface.py
+++ b/larchhaven/interface.py
@@ -294,6 +294,13 @@
     on: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Present:
+    """Which instances, this one among them, are not known to be gone; until it is told, all."""
+
+    instances: frozenset[int]
+
+
 @dataclass(frozen=True, slots=True)
 class ClientGone:
     """The client left; nothing is owed any more."""
@@ -336,6 +343,7 @@
     | Stalled
     | Leaving
     | Suspended
+    | Present
     | ClientGone
     | Established
     | AttemptEnded
--- a/larchhaven/membership/parts.py
+++ b/larchhaven/membership/parts.py
@@ -39,6 +39,19 @@
     zones_lost: tuple[int, ...]  # of which nobody is here who was
 
 
+def present_in(view: View, standing: Standing) -> frozenset[int]:
+    """Return who is not known to be gone: what each does for all is dealt out among these.
+
+    Only a majority may say that others are gone, while its view is sure: a smaller part may be cut off
+    from proxies that go on. Who was never heard of may be about to start, and counts.
+    """
+    everybody = frozenset(range(view.size))
+    if not view.sure or standing.part not in (Part.WHOLE, Part.MAJORITY):
+        return everybody
+    gone = (State.DEAD, State.LEFT)
+    return frozenset(n for n in everybody if n == view.me or view.state(n) not in gone)
+
+
 class Parts:
     """Keeps who was there when all last agreed."""
 
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -185,6 +185,12 @@
             self._suspended.pop(host, None)
         self.queue(api.Suspended(host, on))
 
+    def present(self, proxies: frozenset[int]) -> None:
+        """Go by these proxies of the tier: the others are known to be gone."""
+        if self._lookout is not None:
+            self._lookout.on_present(self._loop.now, proxies)
+        self.queue(api.Present(proxies))
+
     def forget(self, host: str) -> None:
         """Forget what was noted of an instance that is gone."""
         self._notes.pop(host, None)
--- a/larchhaven/net/members.py
+++ b/larchhaven/net/members.py
@@ -50,6 +50,8 @@
         self._handed_on = 0  # to the next process: the incarnation that it is above
         self._above = 0  # the earlier process's
         self.members: Members | None = None
+        # Told which proxies are not known to be gone, whenever that changes.
+        self.present: Callable[[frozenset[int]], None] = lambda proxies: None
 
     def why_off(self) -> str:
         """Say why the membership is off, in words for operators; empty if it may be on."""
@@ -84,6 +86,7 @@
                 self.members.leave()
                 self.members.stop()
                 self.members = None
+                self.present(frozenset(range(len(self._config.peers))))  # as if nobody knew anything
             else:
                 self.members.set_keys(keys)
         elif not off:
@@ -99,6 +102,7 @@
         about = About(config.name, settings.zone, can=Can.REPORTS if self._shares else Can.NOTHING)
         size = len(config.peers)
         self.members = Members(self._loop, settings.index, size, about, keys, self._tell, config.seed)
+        self.members.changed = self.present
         self.members.take_over(self._above)
         _log.info("membership is on: %d of %d proxies", settings.index, size)
 
@@ -116,6 +120,7 @@
         if self.members is not None:
             self._handed_on = self.members.hand_on()
             self.members = None
+            self.present(frozenset(range(len(self._config.peers))))
         return self._handed_on
 
     def take_over(self, incarnation: int) -> None:
--- a/larchhaven/net/membership.py
+++ b/larchhaven/net/membership.py
@@ -18,7 +18,7 @@
 from larchhaven.membership.gate import Gate
 from larchhaven.membership.member import About, Can, Changed, Member, State, View, stamp
 from larchhaven.membership.messages import Entry
-from larchhaven.membership.parts import Parts, Standing
+from larchhaven.membership.parts import Parts, Standing, present_in
 from larchhaven.membership.suspicion import Tuning
 from larchhaven.net.loop import Deadline, Loop, unix_offset_us
 
@@ -116,7 +116,8 @@
         self._deadline: Deadline | None = None
         self._due = 0
         self._stopped = False
-        self.changed: Callable[[View], None] = lambda view: None
+        self._present = frozenset(range(size))
+        self.changed: Callable[[frozenset[int]], None] = lambda proxies: None
         self._look()
         self._plan()
 
@@ -164,8 +165,7 @@
             else:
                 self._note(action)
         if any(isinstance(action, Changed) for action in actions):
-            self._standing = self._parts.look(self._loop.now, self._core.view)
-            self.changed(self._core.view)
+            self._judge()
         self._plan()
 
     def _plan(self) -> None:
@@ -180,9 +180,16 @@
 
     def _look(self) -> None:
         if not self._stopped:
-            self._standing = self._parts.look(self._loop.now, self._core.view)
+            self._judge()
             self._loop.after(LOOK_US, self._look)
 
+    def _judge(self) -> None:
+        self._standing = self._parts.look(self._loop.now, self._core.view)
+        present = present_in(self._core.view, self._standing)
+        if present != self._present:
+            self._present = present
+            self.changed(present)
+
     # The log
 
     def _note(self, change: Changed) -> None:
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -134,6 +134,7 @@
                 loop, pool, broker, token, first_line, address, settings.connect_timeout_us, wait_us
             )
 
+        self._members.present = broker.present
         broker.outside = Outside(
             instances=self._directory,
             begin=begin,
--- a/larchhaven/sharing/lookout.py
+++ b/larchhaven/sharing/lookout.py
@@ -69,6 +69,8 @@
 
     def __init__(self, settings: api.Settings) -> None:
         self._settings = settings
+        self._present = frozenset(range(settings.instances))
+        self._ranks = self._rank_parts()
         self._servers: dict[str, _Seen] = {}
         self._marks: dict[
             int, list[str]
@@ -107,13 +109,35 @@
                 self._drop(entry.server)
             elif entry.server not in self._servers:
                 mark = crc32(entry.server.encode()) >> 16
-                count = self._settings.instances
-                rank = (self._settings.index - mark % PARTS * count // PARTS) % count
+                rank = self._ranks[mark % PARTS]
                 due = now + (SILENT_US + rank * RANK_US if rank else 0)
                 self._servers[entry.server] = _Seen(mark, rank, due)
                 self._marks.setdefault(mark, []).append(entry.server)
         self._plan()
 
+    def _rank_parts(self) -> list[int]:
+        """Return this proxy's place in the order of each part: how many that are present come before it."""
+        count, ranks = self._settings.instances, []
+        for part in range(PARTS):
+            first = part * count // PARTS
+            before = (self._settings.index - first) % count
+            ranks.append(sum((proxy - first) % count < before for proxy in self._present))
+        return ranks
+
+    def on_present(self, now: int, proxies: frozenset[int]) -> None:
+        """Go by these proxies: whoever follows one that is gone moves up, and is due as its place is."""
+        if proxies == self._present:
+            return
+        self._present = proxies
+        self._ranks = self._rank_parts()
+        for seen in self._servers.values():
+            rank = self._ranks[seen.mark % PARTS]
+            if rank < seen.rank:
+                due = max(self._heard_at[seen.mark % PARTS] + SILENT_US, now) + rank * RANK_US
+                seen.due = min(seen.due, due)
+            seen.rank = rank
+        self._plan()
+
     def _drop(self, server: str) -> None:
         seen = self._servers.pop(server, None)
         if seen is not None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -364,3 +364,65 @@
         one.on_look(now, api.ProbeResult("x0", api.Result.TIMEOUT, 500_000))
         told.append(len(of(api.Tell, one.turn(now + 100_000))))
     assert told == [1, 0, 1, 0, 1]
+
+
+def test_connections_are_kept_by_proxies_that_are_present() -> None:
+    """Guards what a connection's keepers are for: who is known to be gone can tell nobody."""
+    b = Balancer(_many(pass_through=True, can_probe=False), seed=1)
+    b.handle(START, [fleet(12)])
+    absent = frozenset({3, 4, 5, 6, 7, 8})
+    b.handle(START, [api.Present(frozenset(range(40)) - absent)])
+    told = set()
+    for key in range(60):
+        sent = of(api.Send, b.handle(START + 1, [api.Arrival(key, 0, 1_200_000, key=key, load=0.01)]))[0]
+        tells = of(api.Tell, b.handle(START + 1, [api.Established(key, 0, sent.server, 100)]))
+        peers = {tell.peer for tell in tells}
+        assert 3 <= len(peers) <= 4 and not peers & absent
+        told |= peers
+    assert len(told) > 25
+    few = Balancer(replace(_many(3, pass_through=True, can_probe=False), index=2), seed=1)
+    few.handle(START, [fleet(2), api.Present(frozenset({1, 2}))])
+    sent = of(api.Send, few.handle(START + 1, [api.Arrival(1, 0, 1_200_000, key=1, load=0.01)]))[0]
+    told_to = [t.peer for t in of(api.Tell, few.handle(START + 1, [api.Established(1, 0, sent.server, 9)]))]
+    assert told_to == [1]  # the next one, 0, is gone
+
+
+@pytest.mark.parametrize("present", [40, 20, 5])
+def test_cold_budget_is_dealt_out_among_those_that_are_present(present: int) -> None:
+    """What all together send a cold server is the same, however many of them are known to be gone."""
+    b = Balancer(_many(can_probe=False, can_tell=False), seed=1)
+    cold = api.FleetList(api.ListKind.COMPLETE, 1, (api.ServerEntry("s0", started_at=START, weight=100.0),))
+    b.handle(START, [cold, api.Present(frozenset(range(present)))])
+    sent = 0
+    for step in range(1000):
+        now = START + 1 + 5_000 * step
+        sent += len(of(api.Send, b.handle(now, [arrival(step, load=0.05)])))
+    whole = Balancer(_many(can_probe=False, can_tell=False), seed=1)
+    whole.handle(START, [cold])
+    usual = sum(
+        len(of(api.Send, whole.handle(START + 1 + 5_000 * step, [arrival(step, load=0.05)])))
+        for step in range(1000)
+    )
+    assert usual > 20
+    assert 0.8 * 40 / present <= sent / usual <= 1.25 * 40 / present
+
+
+def test_next_in_line_looks_as_soon_as_the_first_ones_are_known_to_be_gone() -> None:
+    """With 28 of 40 gone the first one left stepped in after its old place in the order, 2.8 s later."""
+    late = {}
+    for knows in (False, True):
+        tier = _Tier(40, ["a", "b", "c", "d", "e"])
+        tier.play(START, START + 3_000_000)
+        tier.dead = {i for i in range(40) if i % 10 < 7}
+        tier.probes.clear()
+        if knows:
+            for i, lookout in enumerate(tier.all):
+                if i not in tier.dead:
+                    lookout.on_present(START + 3_000_000, frozenset(range(40)) - tier.dead)
+        now = START + 3_000_000
+        while any(not tier.probes[s] for s in "abcde"):
+            tier.play(now, now + 20_000)
+            now += 20_000
+        late[knows] = now - START - 3_000_000
+    assert late[True] <= 3_000_000
+    assert late[True] + 200_000 <= late[False]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -35,7 +35,7 @@
     decode,
     encode,
 )
-from larchhaven.membership.parts import SETTLED_US, Part, Parts
+from larchhaven.membership.parts import SETTLED_US, Part, Parts, present_in
 from larchhaven.membership.placement import neighbours
 from larchhaven.membership.suspicion import Suspicion, Tuning
 
@@ -462,3 +462,18 @@
     assert parts.look(0, view(states)).confidence == 0.5
     assert parts.look(0, view(states, sure=False)).confidence == 0.0
     assert parts.look(9 * SETTLED_US, view(states)).part is Part.UNKNOWN  # nothing is agreed with suspects
+
+
+def test_only_a_sure_majority_says_that_others_are_gone() -> None:
+    """What each does for all is dealt out among the rest: a side that is cut off must not take all of it."""
+    parts = Parts()
+    whole = dict.fromkeys(range(6), State.ALIVE)
+    assert present_in(view(whole), parts.look(0, view(whole))) == frozenset(range(64))
+    parts.look(SETTLED_US, view(whole))
+    lost = {**whole, 1: State.DEAD, 2: State.LEFT, 3: State.SUSPECT}
+    seen = view(lost)
+    assert present_in(seen, parts.look(SETTLED_US + 1, seen)) == frozenset(range(64)) - {1, 2}
+    unsure = view(lost, sure=False)
+    assert present_in(unsure, parts.look(SETTLED_US + 2, unsure)) == frozenset(range(64))
+    small = view({n: State.ALIVE if n < 2 else State.DEAD for n in range(6)})
+    assert present_in(small, parts.look(SETTLED_US + 3, small)) == frozenset(range(64))
