--- a/larchhaven/lab/proxy.py
+++ b/larchhaven/lab/proxy.py
@@ -20,6 +20,7 @@
 LOG_KEPT = 2_000
 PORTS = 12_000
 _random = random.SystemRandom()
+_given: set[int] = set()
 
 
 class NotStartedError(Exception):
@@ -39,12 +40,15 @@
     """Return a port that was free a moment ago, for datagrams and connections."""
     while True:
         port = _random.choice(_own_ports())
+        if port in _given:
+            continue  # whoever asked for it may not have opened it yet
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock, socket.socket() as other:
             try:
                 sock.bind(("127.0.0.1", port))
                 other.bind(("127.0.0.1", port))
             except OSError:
                 continue
+            _given.add(port)
             return port
 
 
