Hear the list first after a sleep: requests went to servers that had drained

Seen: a process stopped (SIGSTOP) for longer than a drain's grace, told of the drain meanwhile, woke and sent 10 of 12 waiting requests to the draining server, three times of three (now none). The line at fault: `Broker.turn` handed events over in the order of the sockets, and clients' came before discovery's. Ruled out: the list arriving late (it stood in the socket). Now the loop sees that a turn is a second late, nothing is decided for 20 ms while the sockets are read, the list goes first, and what other proxies told of loads meanwhile is dropped. On the ordinary path nothing changes.

--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -26,6 +26,24 @@
 NOTE_US = 1_000_000
 # A drained instance is closed to new executions a little before its grace ends: the bytes take time.
 GRACE_MARGIN_US = 150_000
+# After a sleep events are gathered for so long: a list may need several turns to be read.
+AWAKE_US = 20_000
+
+
+def after_sleep(events: list[api.Event]) -> list[api.Event]:
+    """Put what happened while this process was asleep into the order in which it may be believed.
+
+    What the list tells counts from when it was written to us, so it goes first: else what came in the same
+    moment would be sent to servers that left meanwhile. Loads told by other proxies are as old as the sleep.
+    """
+    lists = [event for event in events if isinstance(event, api.FleetList)]
+    rest = [
+        event
+        for event in events
+        if not isinstance(event, api.FleetList)
+        and not (isinstance(event, api.PeerMessage) and event.data[:1] == REPORTS)
+    ]
+    return [*lists, *rest]
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,6 +161,7 @@
         self._look: Deadline | None = None
         self._balancer = Balancer(replace(settings, can_probe=False) if self._lookout else settings, seed)
         self._events: list[api.Event] = []
+        self._awake_at = 0  # after a sleep: when events are handed over again
         self._figures = figures
         self._outcomes = figures.outcomes()
         self._account = account or Account.unbounded()
@@ -211,11 +230,18 @@
         """Have the decision module hear of this at the end of the turn."""
         self._events.append(event)
 
+    def woke(self) -> None:
+        """Take that this process was asleep: nothing is decided until what stands in its sockets is read."""
+        self._awake_at = self._loop.now + AWAKE_US
+        self._loop.after(AWAKE_US, lambda: None)  # the turn in which all is decided
+
     def turn(self) -> None:
         """Hand over what has happened, and do what the decision module says."""
-        if not self._events:
+        if not self._events or self._loop.now < self._awake_at:
             return
         events, self._events = self._events, []
+        if self._awake_at:
+            events, self._awake_at = after_sleep(events), 0
         if self._lookout is not None:
             events = self._share(self._lookout, events)
         for action in self._balancer.handle(self._loop.now, events):
--- a/larchhaven/net/loop.py
+++ b/larchhaven/net/loop.py
@@ -22,6 +22,8 @@
 # getsockopt's SO_MEMINFO and its fields: rmem_alloc, rcvbuf, wmem_alloc, sndbuf, fwd_alloc, wmem_queued, ...
 _SO_MEMINFO = 55
 _MEMINFO = struct.Struct("9I")
+# A turn that begins so late was not this process's doing: it was stopped, or its machine was.
+GAP_US = 1_000_000
 # Unexpected errors are written out at most once in this time.
 _QUIET_US = 1_000_000
 
@@ -76,6 +78,8 @@
         self._quiet_until = 0
         self.now = time.monotonic_ns() // 1000
         self.turn_end: Callable[[], None] = lambda: None
+        # Called before anything else with how late a turn is, if that is GAP_US or more.
+        self.woke: Callable[[int], None] = lambda late_us: None
 
     # Sockets
 
@@ -176,9 +180,12 @@
 
     def turn(self) -> None:
         """Wait for something to happen, and do all that is due."""
+        due, before = self._heap[0][0] if self._heap else None, self.now
         ready = self._selector.select(self._patience())
         self._again = False
         self.now = time.monotonic_ns() // 1000
+        if due is not None and (late := self.now - max(due, before)) >= GAP_US:
+            self._guard(self.woke, late)
         for key, events in ready:
             # A callback before this one may have closed the channel, and its number may be in use again.
             channel = self._channels.get(key.data)
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -170,6 +170,7 @@
         self._operator = OperatorFile(loop, operator, self._on_operator)
         self._apply(own)
         loop.turn_end = self._end_turn
+        loop.woke = self._on_woke
         self._stopping = False
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.on_signal(number, self._on_stop)
@@ -234,6 +235,13 @@
         if self._members.handed_on and not self._handover.has_younger:
             self._members.go_on()
 
+    def _on_woke(self, late_us: int) -> None:
+        """Be careful after a sleep: the list is heard first, and the membership doubts what it knew."""
+        self._notices.tell(
+            "asleep", f"for {late_us / 1e6:.1f} s; what came meanwhile is read before anything else"
+        )
+        self._broker.woke()
+
     def _descriptors(self) -> int:
         """Take what the configuration grants, as far as the system lets us."""
         soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,7 +16,10 @@
 
 import pytest
 
+from larchhaven import interface as api
+from larchhaven.net.broker import after_sleep
 from larchhaven.net.config import decode
+from larchhaven.sharing.lookout import REPORTS
 from tests.rig import PATIENCE, ROOT, SETTINGS, Proxy, Wire, answer_watch, dial, host, listener, opening
 
 PLAIN = "c=chat,d=2000,g=ab"
@@ -503,3 +506,35 @@
 def test_no_address_but_the_given_one_is_listened_on(proxy: Proxy) -> None:
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(("127.0.0.2", proxy.address[1]))
+
+
+@pytest.mark.parametrize("proxy", [{"discovery": "subscribe"}], indirect=True)
+def test_list_is_heard_first_after_a_sleep(proxy: Proxy) -> None:
+    """Guards the drain rule: told while asleep, and asked at the same moment.
+
+    The process is stopped; clients ask, then discovery tells that a server drains, and its grace goes by.
+    """
+    watch = Wire(proxy.discovery.accept()[0])
+    clients = [proxy.client() for _ in range(12)]
+    proxy.opened(f"{PLAIN},at=s1")  # after all of them: they are accepted, and their lines come in one turn
+    proxy.process.send_signal(signal.SIGSTOP)
+    for client in clients:
+        client.send(opening(PLAIN))
+    hosts = [host("s0", proxy.instances[0], "draining"), host("s1", proxy.instances[1])]
+    hosts += [host(f"x{i}", proxy.instances[1], "gone") for i in range(300)]  # several turns to read
+    answer_watch(watch, json.dumps({"seq": 9, "whole": False, "hosts": hosts}))
+    grace_s = proxy.configuration["settings"]["contract"]["stop_sending_within"] / 1e6
+    time.sleep(grace_s + 0.5)
+    proxy.process.send_signal(signal.SIGCONT)
+    for _ in clients:
+        instance = proxy.accept(*proxy.instances)
+        assert instance.sock.getsockname() == proxy.instances[1].getsockname()
+        instance.send("UP r1")
+    assert all(client.line() == "UP r1" for client in clients)
+    assert "asleep: for" in proxy.log_line()
+
+
+def test_what_others_told_of_loads_while_asleep_is_not_believed() -> None:
+    listed, told = api.FleetList(api.ListKind.FAILED), api.PeerMessage(1, REPORTS + b"abc")
+    held = api.PeerMessage(1, b"Habcdef")
+    assert after_sleep([told, api.Leaving(0), held, listed]) == [listed, api.Leaving(0), held]
