--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -120,5 +120,74 @@
     """Guards the size of a proxy: these libraries take 2 to 20 MB."""
     text = "import sys, larchhaven.__main__, larchhaven.net.node; print(*sys.modules)"
     loaded = subprocess.run([sys.executable, "-c", text], cwd=ROOT, capture_output=True, text=True).stdout
-    heavy = {"typer", "google.protobuf", "asyncio", "pythonjsonlogger", "subprocess", "ctypes", "numpy"}
+    heavy = {
+        "typer",
+        "google.protobuf",
+        "asyncio",
+        "pythonjsonlogger",
+        "subprocess",
+        "ctypes",
+        "numpy",
+        "rpds",
+    }
     assert not heavy & set(loaded.split())
+
+
+SMALL = """name: "small" seconds: 14 members: 5 zones: 2
+faults { at_seconds: 5 who { numbers: "2" } kill: true }
+"""
+
+
+def test_model_plays_and_says_whether_it_holds(tmp_path: Path) -> None:
+    path = tmp_path / "small.textproto"
+    path.write_text(SMALL)
+    told = json.loads(run("model", "run", str(path), "--seed", "3", "--json").stdout)
+    assert told["holds"] and told["deaths"][0]["agreed"] < 9
+    text = run("model", "run", str(path), "--seed", "3").stdout
+    assert told["trace"] in text and "2 died at 5 s" in text and text.endswith("holds\n")
+    path.write_text(SMALL.replace("seconds: 14", "seconds: 6"))  # too short for anybody to agree
+    assert "agreed after never" in run("model", "run", str(path), code=1).stdout
+    path.write_text("members: 3 faults { }")
+    assert "say what happens" in run("model", "run", str(path), code=2).stderr
+
+
+def test_model_sweep_gives_the_same_files_again_and_a_plot(tmp_path: Path) -> None:
+    path = tmp_path / "small.textproto"
+    path.write_text(SMALL)
+    for out in ("one", "two"):
+        more = ("--members", "4,6", "--loss", "0,10", "--seeds", "2", "--jobs", "2", "--json")
+        cells = json.loads(run("model", "sweep", str(path), *more, "--out", str(tmp_path / out)).stdout)
+    assert [(cell["members"], cell["loss_percent"], cell["plays"]) for cell in cells] == [
+        (4, 0, 2), (4, 10, 2), (6, 0, 2), (6, 10, 2),
+    ]  # fmt: skip
+    assert all(cell["agreed"]["low"] <= cell["agreed"]["mean"] <= cell["agreed_most"] for cell in cells)
+    for name in ("results.jsonl", "summary.json"):
+        assert (tmp_path / "one" / name).read_bytes() == (tmp_path / "two" / name).read_bytes()
+    page = tmp_path / "report.html"
+    run("model", "plot", str(tmp_path / "one"), "--out", str(page))
+    assert page.read_text().count("<svg") == 1 and "membership" in page.read_text()
+    assert "results.jsonl" in run("model", "plot", str(tmp_path / "none"), code=2).stderr
+    assert "sweep" in run("model", "sweep", str(path), "--members", "x", code=2).stderr
+
+
+def test_model_search_counts_its_states() -> None:
+    told = json.loads(run("model", "search", "--scene", "accused", "--depth", "3", "--json").stdout)
+    assert told[0]["states"] > 20 and told[0]["deepest"] == 3 and not told[0]["broken"]
+    assert "known are" in run("model", "search", "--scene", "none", code=2).stderr
+
+
+@pytest.mark.parametrize("proxy", [{"instances": 2}], indirect=True)
+def test_members_are_shown_or_why_they_are_not(proxy: Proxy) -> None:
+    address = "{}:{}".format(*proxy.management)
+    assert "off: the operators' file does not turn it on" in run("members", address, code=1).stdout
+    assert json.loads(run("members", address, "--json", code=1).stdout)["on"] is False
+    (proxy.folder / "operator.textproto").write_text('membership { on: true key: "sixteen letters!" }')
+    proxy.process.kill()
+    proxy.process.communicate()
+    proxy.start()
+    told = ""
+    while "(this one)" not in told:  # it takes an incarnation when nobody has answered for a second
+        told = run("members", "{}:{}".format(*proxy.management), code=1).stdout
+    assert "1 never heard of" in told and "not sure" in told
+    assert "HOST:PORT" in run("members", "nowhere", code=2).stderr
+    assert "members" in run("members", "127.0.0.1:1", code=2).stderr
