--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -45,6 +45,17 @@
         ("log { form: JSN }", ["1:13: 'log.form' has no value 'JSN': write JSON"]),
         ("log { form JSON }", ["1:12: 'log.form' is a value: write 'form: ...'"]),
         ("log: 3", ["1:6: 'log' is a group: write 'log { ... }'"]),
+        (
+            "membership {\n on: true }",
+            [
+                "2:2: 'membership.on' needs 'membership.key': write 16 to 64 characters, the same at all"
+                " proxies"
+            ],
+        ),
+        (
+            'membership { on: true key: "short" }',
+            ["1:28: 'membership.key' is 5 characters: write 16 to 64 characters"],
+        ),
         ("log {", ["1:6: the text ends before log is closed: write '}'"]),
         (
             "memory { log: 1 log: 2 }\nmemory { }",
