--- a/larchhaven/lab/tier.py
+++ b/larchhaven/lab/tier.py
@@ -97,7 +97,11 @@
             async with room:
                 await proxy.start()
 
-        await asyncio.gather(*(begin(proxy) for proxy in self.proxies))
+        try:
+            await asyncio.gather(*(begin(proxy) for proxy in self.proxies))
+        except BaseException:
+            await self.end()  # else those that did start would stay
+            raise
         self._begun = time.monotonic()
 
     async def end(self) -> list[str]:
