Shut down gracefully in stated phases: resting, late and hurried clients were left unanswered

At fault: node._leave_when_done and _on_stop; the order in Node.__init__; Stream.close over unread input in Listener._make_room and ServiceClient.give_way, which resets the answer just written. Change: net/stopping.py has the phases (serving; lame duck; listener closed, its queue emptied; parting; over) and derives their limits from the settings; the broker gives every command its answer by that time; a stream that is let go is read empty first.

--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -10,6 +10,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import Any, Protocol
 
 from larchhaven import interface as api
@@ -161,6 +162,7 @@
         self._look: Deadline | None = None
         self._balancer = Balancer(replace(settings, can_probe=False) if self._lookout else settings, seed)
         self._events: list[api.Event] = []
+        self._answer_by: int | None = None  # when all have to have their answer, as this process stops
         self._awake_at = 0  # after a sleep: when events are handed over again
         self._figures = figures
         self._outcomes = figures.outcomes()
@@ -301,10 +303,12 @@
         wait = wants.wait_us
         if wait is None:
             wait = self._settings.classes[wants.cls].deadline_us
+        if self._answer_by is not None:
+            wait = max(min(wait, self._answer_by - self._loop.now), 0)
         command = Command(client, wants, self._loop.now + wait)
         token = self._add(command)
         # Should the decision module ever miss the deadline, the client gets its answer all the same.
-        command.limit = self._loop.after(wait + self._settings.answer_slack_us, lambda: self._overdue(token))
+        command.limit = self._loop.after(wait + self._settings.answer_slack_us, partial(self._overdue, token))
         self.queue(
             api.Arrival(
                 token,
@@ -322,6 +326,21 @@
         )
         return token
 
+    def answer_by(self, at: int) -> None:
+        """Give every command its final answer by this time, which may be now: the process ends then."""
+        self._answer_by = at
+        for token, command in list(self._commands.items()):
+            if command.client is not None and command.until > at:
+                command.until = at
+                self._loop.cancel(command.limit)
+                command.limit = self._loop.after(at - self._loop.now, partial(self._overdue, token))
+
+    def move_all(self) -> None:
+        """Move every connection that stands, at once."""
+        for _token, command in self.sessions():
+            if command.session is not None:
+                command.session.move()
+
     def turn_away(self, client: Client, wants: Wants) -> None:
         """Refuse, and count, a command that there is no room to take over; the client hears at once."""
         self._outcomes[wants.cls].rejected += 1
--- a/larchhaven/net/buffers.py
+++ b/larchhaven/net/buffers.py
@@ -21,6 +21,8 @@
 LINGER_MOST_US = 5_000_000
 # Input that is thrown away goes to one block that all streams share.
 DROP_SIZE = 1 << 16
+# Of a stream that is closed before its other side has ended, so many blocks are read at most.
+DROPS_MOST = 16
 # So many buffers that came back are kept for the next; the others go back to the allocator.
 SPARE_MOST = 32
 _EACH = SIZE + BUFFER_EXTRA
@@ -418,7 +420,7 @@
         if until > self._loop.now:
             self._linger = self._loop.after(until - self._loop.now, self._on_linger)
         else:
-            self.close()
+            self.let_go()
 
     def close(self, reset: bool = False) -> None:
         """Close now; with ``reset`` the other side sees the connection break."""
@@ -442,6 +444,18 @@
         if gone is not None:
             gone()
 
+    def let_go(self) -> None:
+        """Close before the other side has ended; what it has sent is read first, as unread bytes reset.
+
+        A reset would take along what was written last and not read yet at the other side.
+        """
+        if not self.closed and not self.ended:
+            with contextlib.suppress(OSError):
+                for _ in range(DROPS_MOST):
+                    if not self._sock.recv_into(_DRAIN):
+                        break
+        self.close()
+
     def close_unread(self) -> None:
         """End a connection whose other side does not read, so that others have its room."""
         yielding, self.yielding = self.yielding, None
--- a/larchhaven/net/clients.py
+++ b/larchhaven/net/clients.py
@@ -97,11 +97,13 @@
         self._limit = self._loop.after(limit_us, self.fail)
 
     def give_way(self) -> None:
-        """Answer and close at once, as others need the descriptor; a line that has just come still counts."""
+        """Answer and end our side, as others need the room; a line that has just come still counts.
+
+        What comes after that is read and never sent on. The stream parts: it is the next to be closed.
+        """
         self.stream.look()
         if self._token is None and not self.stream.closed:
             self.refuse(0)
-            self.stream.close()
 
     # Answers, as the broker gives them
 
@@ -193,28 +195,42 @@
         """Count a client as heard, answered or gone."""
         self._silent.pop(client, None)
 
+    def empty_queue(self) -> bool:
+        """Take all who wait to be accepted; False if some are left for want of room."""
+        return any(self._accept() for _ in range(BACKLOG // ACCEPTS_A_TURN))
+
+    def part_all(self) -> None:
+        """Answer all who have not brought a first line, and end our side."""
+        for client in list(self._silent):
+            client.give_way()
+
     def _on_ready(self, _: int) -> None:
+        self._accept()
+
+    def _accept(self) -> bool:
+        """Take some of those who wait; True as soon as nobody does any more."""
         for _turn in range(ACCEPTS_A_TURN):
             if self._crowded() and self._giver() is None:
                 if self._silent:
                     self._rest(SPEAK_REST_US)
                 else:
                     self._pause("all descriptors or all memory for connections are in use")
-                return
+                return False
             try:
                 sock, _address = self._sock.accept()
             except BlockingIOError:
-                return
+                return True
             except OSError as error:
                 if error.errno in SHORT_OF:
                     self._pause(errno.errorcode.get(error.errno, "out of resources"))
-                    return
+                    return False
                 continue  # that client has gone again
             try:
                 self._silent[ServiceClient(self, sock)] = None
             except OSError:
                 sock.close()
             self._make_room()
+        return False
 
     def _relieve(self) -> None:
         """Let the oldest client go that holds a buffer with a part of a first line.
@@ -265,7 +281,7 @@
         while (giver := self._giver()) is not None:
             match giver:
                 case Giver.PARTING:
-                    next(iter(self.pool.parting)).close()
+                    next(iter(self.pool.parting)).let_go()
                 case Giver.UNREAD:
                     self._rooms.count_refusal()
                     next(iter(self.pool.unread)).close_unread()
--- a/larchhaven/net/lines.py
+++ b/larchhaven/net/lines.py
@@ -10,8 +10,8 @@
 from larchhaven.net.buffers import Buffer
 
 LONGEST = 4096
-# A client may wait as long as it likes, and one that stood before the run says that it waits for over an hour;
-# no command is held for longer than this.
+# A client may wait as long as it likes, and one that stood before the run says that it waits for over an
+# hour; no command is held for longer than this.
 WAIT_MOST_MS = 3_600_000
 END = b"\r\n"
 PING = b"PING" + END
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -37,6 +37,7 @@
 from larchhaven.net.probes import Probes
 from larchhaven.net.relay import Relay
 from larchhaven.net.rooms import Rooms
+from larchhaven.net.stopping import PASS_MOST_US, Phase, Stopping
 from larchhaven.net.suspensions import Suspensions
 from larchhaven.operator.settings import Complaint, Reading, Settings
 from larchhaven.sharing.lookout import is_shared
@@ -45,21 +46,12 @@
 # The parts of the memory for tables that what only helps may fill: it is forgotten, the oldest first.
 HOLDERS_SHARE = 0.25
 LISTED_SHARE = 0.10
-# A stop may be made final this long after it was announced.
-LEAVE_MOST_US = 3_000_000
 # Suspensions that another process was told are heeded within this time.
 SUSPENSIONS_US = 100_000
 # After a call to drain the connections that must go are gone by then.
 DRAIN_US = 4_000_000
-# New connections come for a while after the signal to stop, as other parties learn of it late; the process
-# stays until none has come for so long.
-ARRIVALS_END_US = 1_000_000
-STOP_LOOK_US = 50_000
-# Beside another process: a connection that could not be passed on is tried again after the first time, those
-# that are left after the second are moved, and the process ends this much after the longest deadline.
+# Beside another process: a connection that could not be passed on is tried again after this time.
 PASS_AGAIN_US = 5_000
-PASS_MOST_US = 500_000
-END_US = 400_000
 
 # Complaints about one reading that the log is told of.
 COMPLAINTS_MOST = 20
@@ -80,6 +72,11 @@
         own = reading.settings if reading is not None else Settings()
         settings = config.settings
         self._loop = loop = Loop()
+        # Before the listener is made, which takes clients from then on: a signal that comes during the start
+        # is heeded in the first turn. One that comes earlier finds nothing taken, and ends the process.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.on_signal(number, self._on_stop)
+        loop.on_signal(signal.SIGHUP, self._on_reload)
         grant = int(config.limits.memory_mb * plan.MB)
         if own.membership:
             # Before the program's own size is taken: what is loaded for it is not for clients to use.
@@ -171,10 +168,7 @@
         self._apply(own)
         loop.turn_end = self._end_turn
         loop.woke = self._on_woke
-        self._stopping = False
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.on_signal(number, self._on_stop)
-        loop.on_signal(signal.SIGHUP, self._on_reload)
+        self._stopping = Stopping(loop, broker, self._listener, pool, settings, shared)
 
     def run(self) -> None:
         """Serve until told to stop."""
@@ -230,7 +224,7 @@
 
     def _end_turn(self) -> None:
         self._broker.turn()
-        if self._stopping and self._handover.has_younger:
+        if self._stopping.phase is not Phase.SERVING and self._handover.has_younger:
             self._pass_on()
         if self._members.handed_on and not self._handover.has_younger:
             self._members.go_on()
@@ -399,7 +393,7 @@
             return
         self._listener.away = on
         _log.info("told to drain" if on else "told to work again")
-        if not self._config.settings.pass_through and not self._stopping:
+        if not self._config.settings.pass_through and self._stopping.phase is Phase.SERVING:
             self._broker.queue(api.Leaving(DRAIN_US if on else 0))
 
     # A new configuration
@@ -460,42 +454,14 @@
     # The end
 
     def _on_stop(self) -> None:
-        """Go on serving: new connections still come; leave when nothing is left, or at the second signal.
+        """Begin the shutdown; a second signal hurries it.
 
         Where packets pass through, standing connections go on until the process ends: others take them over
         then. Elsewhere they would be lost, and the decision module moves them.
         """
-        if self._stopping:
-            self._loop.stop()
+        if self._stopping.phase is not Phase.SERVING:
+            self._stopping.hurry()
             return
-        self._stopping = True
         _log.info("told to stop")
         self._members.leave()
-        if self._config.socket_fd is not None:
-            # Whoever comes now waits in the socket for the process that holds it next.
-            self._listener.stop()
-            longest = max(c.deadline_us for c in self._config.settings.classes)
-            self._loop.after(max(longest, LEAVE_MOST_US) + END_US, self._loop.stop)
-            self._loop.after(PASS_MOST_US if self._handover.has_younger else 0, self._move_all)
-            self._leave_when_done()
-        else:
-            self._move_all()
-            self._loop.after(ARRIVALS_END_US, self._leave_when_done)
-
-    def _move_all(self) -> None:
-        """Have the connections moved that are still here, unless packets pass through."""
-        settings = self._config.settings
-        if not settings.pass_through:
-            longest = max(c.deadline_us for c in settings.classes)
-            self._broker.queue(api.Leaving(min(longest, LEAVE_MOST_US)))
-
-    def _leave_when_done(self) -> None:
-        broker, listener = self._broker, self._listener
-        if listener.accepting:
-            busy = self._loop.now < broker.arrived_at + ARRIVALS_END_US
-        else:
-            busy = bool(listener.silent() or self._pool.parting)
-        if broker.held() or busy:
-            self._loop.after(STOP_LOOK_US, self._leave_when_done)
-        else:
-            self._loop.stop()
+        self._stopping.begin(PASS_MOST_US if self._handover.has_younger else 0)
