Ask when the first byte goes out whether it may: clients had left, windows had ended

Ruled out: ends and resets without bytes before them, one answer in pieces, two at once, one after another, answers without an end, both sides ending in one turn, MOVE and BYE in one turn: these pass on the program before as well. At fault: Stream._read, which paused behind a full buffer and saw no end; Broker.may_begin, which asked for the drain only; Stream.look, which read once; TextExecution._on_late and ServiceClient's limit, which did not look; Loop.turn, which let deadlines go before what stood in the sockets was read. Change: a client that does not wait is failed when no room is left to see behind what it sends; the decision module says when bytes go out whether they may; deadlines rest for the one turn after a sleep. Where lists are pushed a call that failed is repeated within half the grace of a drain: what the agent has counts as told at once.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -61,9 +61,10 @@
 KEEPERS, AGAIN_MOST = 4, 10 * TOLD_MOST  # by its key, of where a connection stands; told anew at a start
 RECENT_MOST = 512  # own changes that a report may not hold yet; more do not fit in its lag
 ASK_US = 100_000  # a mid-flow connection unknown here waits so long for others to tell where it stands
-# A failed subscription is asked for again after this part of ask_within, doubling up to the whole. All calls
-# leave the list service this long for each instance, or forty keep it too busy to answer any; but an instance
-# that has not asked within ask_within counts as told, so the first call is out by the last of these parts.
+# A failed subscription is asked for again after the first part of ask_within, doubling up to the whole. Calls
+# leave the list service this long for each instance, or forty keep it too busy to answer any; but one that
+# has not asked within ask_within counts as told, so the first call is out by the second part. Where lists are
+# pushed all counts as told at once: half the grace of drains takes the place of ask_within.
 ASK_SHARE, ASK_EACH_US, ASK_MOST = 0.1, 125_000, 0.5
 
 MAY_HAVE_RUN = (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED)
@@ -155,7 +156,8 @@
         self.class_load = [FIRST_LOAD] * len(settings.classes)
         self.learnt = struct.Struct(f"<{3 + len(self.class_load)}d")  # what one that takes over is told
         self.now = self.next_token = self.ask_span = self.ranked_at = 0
-        parts = (int(part * settings.ask_within_us) for part in (ASK_SHARE, ASK_MOST))
+        self.ask_most = settings.ask_within_us if settings.subscribe else settings.drain_grace_us // 2
+        parts = (int(part * self.ask_most) for part in (ASK_SHARE, ASK_MOST))
         self.calm = sorted((*parts, ASK_EACH_US * settings.instances))[1]
         self.failures = self.gate_at = 0  # set-ups that failed since one last stood; none begun before
         self.arrivals: deque[int] = deque()
@@ -234,8 +236,7 @@
         """Send a request to its server now, hold it for one, or answer it when its time or tries are up."""
         limits, left = self.settings, conn.deadline - self.now
         if left <= 2 * limits.tick_us or conn.attempts >= limits.max_attempts or not self._may_send(conn):
-            self._give_up(conn)
-            return
+            return self._give_up(conn)
         aim = limits.classes[conn.cls].aim_us
         server = self._holder(conn)
         if server is None and conn.at is None and self.now >= self.gate_at:
@@ -249,8 +250,7 @@
             return self._give_up(conn)  # nobody is left to wait for
         if server is None:
             wait = max(HOLD_SHARE * aim, self.gate_at - self.now) * (1 + self.rng.random() / 2)
-            self._hold(conn, min(wait, left - 2 * limits.tick_us))
-            return
+            return self._hold(conn, min(wait, left - 2 * limits.tick_us))
         if self.failures >= GATE_AFTER:
             self._shut_gate()  # let one through, and see how it fares
         conn.out = conn.attempts
@@ -284,27 +284,29 @@
         if not conn.done and conn.out is None and conn.id in self.conns:
             self._place(conn)
 
+    def may_begin(self, now: int, request: int) -> bool:
+        """Rule 2 as the first byte is about to go out, however long the connection took to come up."""
+        self.now, conn = now, self.conns.get(request)
+        return conn is not None and self._may_send(conn) and self._allowed(conn, conn.server)
+
     def _may_send(self, conn: Conn) -> bool:
         """Rule 2: whether another attempt can do no harm."""
         cls = self.settings.classes[conn.cls]
         safe = conn.ran_on is None or cls.effect is Effect.SAFE
         return safe or (cls.effect is Effect.KEYED and self.now < conn.ran_at + cls.window_us)
 
-    def _allowed(self, conn: Conn, server: Server) -> bool:
+    def _allowed(self, conn: Conn, server: Server | None) -> bool:
         """Rule 2: a keyed request that may have run stays with the servers that discard its duplicates."""
         cls, first = self.settings.classes[conn.cls], conn.ran_on
-        if first is None or cls.effect is not Effect.KEYED or cls.scope is Scope.ALL:
+        if first is None or server is None or cls.effect is not Effect.KEYED or cls.scope is Scope.ALL:
             return True
         return server.zone == first.zone if cls.scope is Scope.ZONE else server.cell == first.cell
 
     def _give_up(self, conn: Conn) -> None:
         """Give the one final answer of a request that has no attempt out."""
-        cls = self.settings.classes[conn.cls]
-        harmless = conn.ran_on is None or cls.effect is Effect.SAFE
-        if harmless or (cls.effect is Effect.KEYED and cls.scope is Scope.ALL):
-            self.actions.append(api.Refuse(conn.id, self.settings.max_retry_after_us))
-        else:
-            self.actions.append(api.Fail(conn.id))
+        cls, refusal = self.settings.classes[conn.cls], api.Refuse(conn.id, self.settings.max_retry_after_us)
+        again = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.scope is Scope.ALL)
+        self.actions.append(refusal if conn.ran_on is None or again else api.Fail(conn.id))
         self._close(conn)
 
     def _close(self, conn: Conn) -> None:
@@ -477,7 +479,7 @@
 
     def _on_list(self, event: api.FleetList) -> None:
         if event.kind is ListKind.FAILED:
-            self.ask_span = min(max(2 * self.ask_span, self.calm), self.settings.ask_within_us)
+            self.ask_span = min(max(2 * self.ask_span, self.calm), self.ask_most)
             self._after(self.ask_span * self.rng.uniform(1 / 3, 1), lambda: self.actions.append(api.Watch()))
             return
         self.ask_span = 0
@@ -715,8 +717,7 @@
             level = ratio
             capacity += server.weight
             near.append((ratio, server))
-        if near:
-            level += (poured - filled) / capacity
+        level += (poured - filled) / capacity if near else 0.0
         shares = [max(level - r, 1e-9) * s.weight for r, s in near]
         return [s for _, s in near], shares
 
--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -83,7 +83,10 @@
 
 
 class Client(Protocol):
-    """How a service client is answered; each command gets exactly one of these calls."""
+    """How a service client is answered; each command gets exactly one of these calls, but for the first."""
+
+    def look(self) -> None:
+        """Read what has just come, as it may be the client's end."""
 
     def refuse(self, retry_after_us: int) -> None:
         """Refuse, with advice when to come again."""
@@ -362,12 +365,22 @@
         self.queue(api.ClientGone(token))
         self._drop(token, command)
 
+    def client_fails(self, token: int) -> None:
+        """Fail the command of a client that breaks the protocol while it should wait."""
+        self._fail(token)
+
     def _overdue(self, token: int) -> None:
-        if (answered := self._answered(token)) is not None:
+        if self._fail(token):
             self._notices.tell("overdue answer", f"command {token} was failed at its deadline")
-            self.queue(api.ClientGone(token))
-            answered[1].failed += 1
-            answered[0].fail()
+
+    def _fail(self, token: int) -> bool:
+        """Fail a command over the head of the decision module; False if it had its answer."""
+        if (answered := self._answered(token)) is None:
+            return False
+        self.queue(api.ClientGone(token))
+        answered[1].failed += 1
+        answered[0].fail()
+        return True
 
     def _drop(self, token: int, command: Command) -> None:
         """Forget a command that owes nothing more, and give up its execution."""
@@ -390,9 +403,12 @@
     # Executions
 
     def may_begin(self, token: int) -> bool:
-        """Tell whether the instance of this execution may still get something new."""
-        command = self._commands.get(token)
-        return command is not None and self._open(command.host)
+        """Tell whether the first byte of this execution may go out now, however long the connect took."""
+        if (command := self._commands.get(token)) is not None and command.client is not None:
+            command.client.look()
+        if command is None or self._commands.get(token) is not command:
+            return False  # the client has just left
+        return self._open(command.host) and self._balancer.may_begin(self._loop.now, token)
 
     def _open(self, host: str) -> bool:
         """Guard the drain rule once more: the list may have changed while a connect took its time."""
--- a/larchhaven/net/buffers.py
+++ b/larchhaven/net/buffers.py
@@ -23,6 +23,8 @@
 DROP_SIZE = 1 << 16
 # Of a stream that is closed before its other side has ended, so many blocks are read at most.
 DROPS_MOST = 16
+# One look reads so many times at most: whoever sends without a pause does not keep the loop.
+LOOKS_MOST = 16
 # So many buffers that came back are kept for the next; the others go back to the allocator.
 SPARE_MOST = 32
 _EACH = SIZE + BUFFER_EXTRA
@@ -173,8 +175,8 @@
 
     __slots__ = (
         "__weakref__", "_channel", "_connecting", "_deaf", "_ending", "_finished_at", "_heard_at", "_linger",
-        "_loop", "_outbox", "_pool", "_reading", "_sock", "closed", "ended", "gone", "inbox", "owner",
-        "yielding",
+        "_loop", "_outbox", "_pool", "_reading", "_sock", "closed", "ended", "gone", "inbox", "overflow",
+        "owner", "yielding",
     )  # fmt: skip
 
     owner: Owner  # set by whoever takes the stream over, if not at once
@@ -201,6 +203,8 @@
         self._linger: Deadline | None = None
         # What ends the connection for others' sake while its other side does not read; None: not spared.
         self.yielding: Callable[[], None] | None = None
+        # What is done when there is no room for what comes, in place of reading no more; None: it waits.
+        self.overflow: Callable[[], None] | None = None
         self.gone: Callable[[], None] | None = None  # called once when the stream is closed
         self._finished_at = self._heard_at = 0
         self._channel = loop.add(sock, READ, self._on_ready)
@@ -262,58 +266,63 @@
                 self.resume()
 
     def look(self) -> None:
-        """Read what may have come since the turn began."""
-        if self._reading and not self.closed and not self.ended:
-            self._read()
+        """Read all that may have come since the turn began, up to the other side's end."""
+        for _ in range(LOOKS_MOST):
+            if not self._reading or self.closed or self.ended or not self._read():
+                return
 
-    def _read(self) -> None:
+    def _read(self) -> bool:
+        """Read once; False if nothing has come."""
         if self._deaf:
-            self._drop()
-            return
+            return self._drop()
         if self.inbox is None:
             self.inbox = self._pool.take()
+        room = self.inbox.room() if self.inbox is not None else memoryview(b"")
+        if not len(room) and self.overflow is None:
+            self.pause()
             if self.inbox is None:
-                self.pause()
                 self._pool.wait(self.resume)
-                return
-        room = self.inbox.room()
-        if not len(room):
-            self.pause()
-            return
+            return False
         try:
-            count = self._sock.recv_into(room)
+            # Without room one byte is looked at, to tell an end from more input.
+            count = self._sock.recv_into(room) if len(room) else len(self._sock.recv(1, socket.MSG_PEEK))
         except (BlockingIOError, InterruptedError):
             self.consume(0)
-            return
+            return False
         except OSError as error:
             self._break(error.errno or errno.ECONNRESET)
-            return
+            return True
         if not count:
             self.consume(0)
             self.ended = True
             self._watch()
             self.owner.on_end()
-            return
-        self.inbox.end += count
-        self.owner.on_input()
+        elif self.inbox is None or not len(room):
+            assert self.overflow is not None  # else it waits for room
+            self.overflow()
+        else:
+            self.inbox.end += count
+            self.owner.on_input()
+        return True
 
-    def _drop(self) -> None:
+    def _drop(self) -> bool:
         """Throw away what comes; a client may send many megabytes before it reads its answer."""
         try:
             count = self._sock.recv_into(_DRAIN)
         except (BlockingIOError, InterruptedError):
-            return
+            return False
         except OSError as error:
             self._break(error.errno or errno.ECONNRESET)
-            return
+            return True
         if count:
             self._heard_at = self._loop.now
-            return
+            return True
         self.ended = True
         if self.pending:
             self._watch()
         else:
             self.close()
+        return True
 
     # Writing
 
@@ -401,7 +410,7 @@
         if self.closed:
             return
         self._pool.unread.pop(self, None)
-        self.yielding = None
+        self.yielding = self.overflow = None
         self.end()
         if self.ended and not self.pending:
             self.close()
@@ -439,7 +448,7 @@
             if buffer is not None:
                 self._pool.give(buffer)
         self.inbox = self._outbox = None
-        self.owner, self.yielding = _NOBODY, None
+        self.owner, self.yielding, self.overflow = _NOBODY, None, None
         gone, self.gone = self.gone, None
         if gone is not None:
             gone()
--- a/larchhaven/net/clients.py
+++ b/larchhaven/net/clients.py
@@ -40,7 +40,7 @@
         self.since = listener.loop.now
         self._token: int | None = None  # of its command, while the broker has it
         self.stream = Stream(listener.loop, listener.pool, sock, self)
-        self._limit: Deadline | None = self._loop.after(FIRST_LINE_US, self.fail)
+        self._limit: Deadline | None = self._loop.after(FIRST_LINE_US, self._on_late)
 
     # The stream's owner
 
@@ -69,10 +69,10 @@
                 self._listener.notices.tell("bad first line", str(error))
                 self.fail()
                 return
-            self._loop.cancel(self._limit)
-            self._limit = None
+            self._stop_clock()
             self._listener.count_out(self)
             if self._listener.admits(wants):
+                self.stream.overflow = self._stuffed
                 self._token = self._listener.broker.take_command(self, wants)
             else:
                 self._listener.broker.turn_away(self, wants)
@@ -87,14 +87,39 @@
         self._leave()
 
     def _leave(self) -> None:
-        self._loop.cancel(self._limit)
+        self._stop_clock()
         self._listener.count_out(self)
         if self._token is not None:
             self._listener.broker.client_left(self._token)
 
+    def _stop_clock(self) -> None:
+        self._loop.cancel(self._limit)
+        self._limit = None
+
     def _rest(self, limit_us: int) -> None:
         self._loop.cancel(self._limit)
-        self._limit = self._loop.after(limit_us, self.fail)
+        self._limit = self._loop.after(limit_us, self._on_late)
+
+    def _on_late(self) -> None:
+        """Fail one that said nothing in its time; a line that has just come still counts."""
+        limit = self._limit
+        self.stream.look()
+        if self._limit is limit:
+            self.fail()
+
+    def look(self) -> None:
+        """Read what has come since the turn began: above all the end of a client that has left."""
+        self.stream.look()
+
+    def _stuffed(self) -> None:
+        """Fail a client that does not wait: no room is left to see behind what it sends whether it leaves.
+
+        After its first line a client waits. What it sends all the same is kept as far as a buffer goes; with
+        more, or with no buffer free, its end would stay unseen, and its command be sent on for nobody.
+        """
+        if self._token is not None:
+            self._listener.notices.tell("a client does not wait", "it sent more than a buffer holds")
+            self._listener.broker.client_fails(self._token)
 
     def give_way(self) -> None:
         """Answer and end our side, as others need the room; a line that has just come still counts.
@@ -116,7 +141,7 @@
         self._answer(lines.FAILED)
 
     def _answer(self, line: bytes) -> None:
-        self._loop.cancel(self._limit)
+        self._stop_clock()
         self._listener.count_out(self)
         self.stream.write(line)
         self.stream.finish()
@@ -124,6 +149,7 @@
     def serve(self, execution: Execution, token: int) -> Relay:
         """Join the client to the instance that took its command."""
         assert isinstance(execution, TextExecution) and execution.stream is not None  # it has come up
+        self.stream.overflow = None
         return Relay(
             self._loop, self.stream, execution.stream, self._listener.broker, token, execution.up_line
         )
--- a/larchhaven/net/executions.py
+++ b/larchhaven/net/executions.py
@@ -123,6 +123,9 @@
         self._end(api.Result.UNREACHABLE)
 
     def _on_late(self) -> None:
+        """Give up; an answer that has just come still counts."""
+        if self.stream is not None and self._written:
+            self.stream.look()
         self._end(api.Result.TIMEOUT if self._written else api.Result.UNREACHABLE)
 
     # Ending
--- a/larchhaven/net/loop.py
+++ b/larchhaven/net/loop.py
@@ -73,6 +73,7 @@
         self._dead = 0
         self._order = 0
         self._again = False
+        self._asleep = False  # deadlines rest for the one turn that comes after a sleep
         self._running = False
         self._signals: dict[int, Callable[[], None]] = {}
         self._quiet_until = 0
@@ -184,14 +185,19 @@
         ready = self._selector.select(self._patience())
         self._again = False
         self.now = time.monotonic_ns() // 1000
-        if due is not None and (late := self.now - max(due, before)) >= GAP_US:
+        late = 0 if due is None else self.now - max(due, before)
+        # What is ready was found before the sleep; the rest is read in the next turn, before anybody is late
+        # for it: seen with first lines of which some were read after their deadline.
+        self._asleep = asleep = late >= GAP_US and not self._asleep
+        if asleep:
+            self._again = True
             self._guard(self.woke, late)
         for key, events in ready:
             # A callback before this one may have closed the channel, and its number may be in use again.
             channel = self._channels.get(key.data)
             if channel is not None:
                 self._guard(channel.then, events & channel.events)
-        while self._heap and (self._heap[0][0] <= self.now or self._heap[0][2].then is None):
+        while not asleep and self._heap and (self._heap[0][0] <= self.now or self._heap[0][2].then is None):
             then = heapq.heappop(self._heap)[2].then
             if then is None:
                 self._dead = max(self._dead - 1, 0)
--- a/tests/test_broker.py
+++ b/tests/test_broker.py
@@ -36,6 +36,9 @@
     def cancel(self) -> None:
         self.answers.append("cancelled")
 
+    def look(self) -> None:
+        """Nothing: the client stays."""
+
     def refuse(self, retry_after_us: int) -> None:
         self.answers.append(f"refused {retry_after_us}")
 
--- a/tests/test_leaks.py
+++ b/tests/test_leaks.py
@@ -11,6 +11,7 @@
 import socket
 import struct
 import weakref
+from collections.abc import Sequence
 from types import SimpleNamespace
 from typing import Any
 
@@ -35,12 +36,15 @@
 from tests.world import PLAIN
 
 BUFFERS = 12
+SERVERS = (api.ServerEntry("s0"),)
 
 
 class Bench:
     """The client's, the broker's and the instance's side in one process."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, settings: api.Settings = PLAIN, servers: tuple[api.ServerEntry, ...] = SERVERS
+    ) -> None:
         self.clock = SimpleNamespace(ns=10**12)
         self.real = vars(loop_module)["time"]
         vars(loop_module)["time"] = SimpleNamespace(
@@ -51,7 +55,7 @@
         self.account = Account(caps)
         self.pool = Pool(self.account, bound=4096)
         notices = Notices(self.loop)
-        self.broker = Broker(self.loop, notices, PLAIN, 1, Figures.of(["chat"]), self.account)
+        self.broker = Broker(self.loop, notices, settings, 1, Figures.of(["chat"]), self.account)
         self.server = socket.create_server(("127.0.0.1", 0))
         self.server.setblocking(False)
         self.broker.outside = Outside(
@@ -70,13 +74,39 @@
             self.loop, self.pool, self.broker, notices, ("127.0.0.1", 0), {"chat": 0}, {}, 60, rooms
         )
         self.listener.open()
-        self.broker.queue(api.FleetList(api.ListKind.COMPLETE, 1, (api.ServerEntry("s0"),)))
+        self.list_servers(servers)
         self.loop.turn_end = self.broker.turn
         self.number = 0
         self.clients: list[socket.socket] = []
         self.instances: list[socket.socket] = []
         self.spin()
 
+    def list_servers(self, servers: tuple[api.ServerEntry, ...]) -> None:
+        self.broker.queue(api.FleetList(api.ListKind.COMPLETE, 1, servers))
+
+    def client(self, data: bytes) -> socket.socket:
+        """Connect, and send something without a turn of the loop."""
+        sock = socket.create_connection(self.listener.address)
+        sock.sendall(data)
+        sock.setblocking(False)
+        self.clients.append(sock)
+        return sock
+
+    def found(self) -> list[Any]:
+        """Return what is ready now, for ``unseen``."""
+        ready: list[Any] = vars(self.loop)["_selector"].select(1)
+        return ready
+
+    def unseen(self, but: Sequence[Any] = ()) -> None:
+        """Have the next turn find nothing ready but this: the rest has come just after it looked."""
+        selector = vars(self.loop)["_selector"]
+
+        def select(timeout: float | None) -> Sequence[Any]:
+            del selector.select
+            return but
+
+        selector.select = select
+
     def address(self, host: str) -> tuple[str, int]:
         address: tuple[str, int] = self.server.getsockname()
         return address
@@ -98,6 +128,15 @@
                 sock.setblocking(False)
                 self.instances.append(sock)
 
+    def settled(self) -> None:
+        """See that nothing is held any more: commands, streams, buffers, what was charged."""
+        self.end()
+        assert self.broker.held() == 0 and not self.pool.parting and not self.pool.unread
+        self.pool.shrink()
+        for purpose in (Purpose.CONNECTIONS, Purpose.TABLES, Purpose.BUFFERS):
+            assert self.account.charged(purpose) == 0, purpose
+        assert self.account.over == 0 and self.listener.silent() == 0
+
     def end(self) -> None:
         """Let everybody go, and all deadlines pass."""
         for sock in (*self.clients, *self.instances):
@@ -234,12 +273,7 @@
     def teardown(self) -> None:
         bench = self.bench
         try:
-            bench.end()
-            assert bench.broker.held() == 0 and not bench.pool.parting and not bench.pool.unread
-            bench.pool.shrink()
-            for purpose in (Purpose.CONNECTIONS, Purpose.TABLES, Purpose.BUFFERS):
-                assert bench.account.charged(purpose) == 0, purpose
-            assert bench.account.over == 0 and bench.listener.silent() == 0
+            bench.settled()
             assert not list(self.seen), "what is closed waits for the garbage collector"
         finally:
             bench.close()
