Wait for the first pushed list, and ask twice in doubt: drains were known and not heard

At fault: Node.run, which opened with the old list and a watch that does not answer while there is no news; Discovery._on_silence. Change: newcomers wait for the first list or a failed call, a quarter of the shortest set-up aim at most, and keep their deadlines; the call in doubt is made once more after a second. The test of a second silence is one of a third.

--- a/larchhaven/net/broker.py
+++ b/larchhaven/net/broker.py
@@ -29,6 +29,8 @@
 GRACE_MARGIN_US = 150_000
 # After a sleep events are gathered for so long: a list may need several turns to be read.
 AWAKE_US = 20_000
+# At a start newcomers wait for the list, for this part of the shortest set-up aim at most.
+FIRST_LIST_SHARE = 0.25
 
 
 def after_sleep(events: list[api.Event]) -> list[api.Event]:
@@ -167,6 +169,7 @@
         self._events: list[api.Event] = []
         self._answer_by: int | None = None  # when all have to have their answer, as this process stops
         self._awake_at = 0  # after a sleep: when events are handed over again
+        self._newcomers: list[api.Arrival] | None = None  # who waits for the first list; None: nobody has to
         self._figures = figures
         self._outcomes = figures.outcomes()
         self._account = account or Account.unbounded()
@@ -240,6 +243,31 @@
         self._awake_at = self._loop.now + AWAKE_US
         self._loop.after(AWAKE_US, lambda: None)  # the turn in which all is decided
 
+    def hear_first(self) -> None:
+        """Have newcomers wait until the list is heard, or calling has failed, as far as they can wait.
+
+        Where lists are pushed, what is on the list counts as told from the first moment of this process, and
+        the list that it was started with may be old: a server on it may have drained meanwhile.
+        """
+        self._newcomers = []
+        self._loop.after(0, self._limit_wait)  # from the first turn on
+
+    def _limit_wait(self) -> None:
+        wait = int(FIRST_LIST_SHARE * min(c.aim_us for c in self._settings.classes))
+        self._loop.after(wait, self._let_in)
+
+    def heard(self, news: api.FleetList) -> None:
+        """Take news of the list, or that a call for it has failed."""
+        self.queue(news)
+        self._let_in()
+
+    def _let_in(self) -> None:
+        newcomers, self._newcomers = self._newcomers or [], None
+        for arrival in newcomers:
+            command = self._commands.get(arrival.request)
+            if command is not None and command.client is not None:  # neither gone nor answered
+                self.queue(replace(arrival, budget_us=max(command.until - self._loop.now, 0)))
+
     def turn(self) -> None:
         """Hand over what has happened, and do what the decision module says."""
         if not self._events or self._loop.now < self._awake_at:
@@ -312,21 +340,23 @@
         token = self._add(command)
         # Should the decision module ever miss the deadline, the client gets its answer all the same.
         command.limit = self._loop.after(wait + self._settings.answer_slack_us, partial(self._overdue, token))
-        self.queue(
-            api.Arrival(
-                token,
-                wants.cls,
-                wait,
-                wants.tenant,
-                key=wants.key,
-                load=wants.load,
-                group=wants.group,
-                retry=wants.retry,
-                midflow=wants.midflow,
-                again=wants.again,
-                at=wants.at,
-            )
+        arrival = api.Arrival(
+            token,
+            wants.cls,
+            wait,
+            wants.tenant,
+            key=wants.key,
+            load=wants.load,
+            group=wants.group,
+            retry=wants.retry,
+            midflow=wants.midflow,
+            again=wants.again,
+            at=wants.at,
         )
+        if self._newcomers is None:
+            self.queue(arrival)
+        else:
+            self._newcomers.append(arrival)
         return token
 
     def answer_by(self, at: int) -> None:
--- a/larchhaven/net/discovery.py
+++ b/larchhaven/net/discovery.py
@@ -16,10 +16,13 @@
 # How long discovery may hold a watch, and how long an answer may take. So long after the hold, what a silent
 # watch had to tell counts as told. A sound one answers as soon as the hold is over: one that has not by the
 # third of these is followed by a call that does not wait, over a new connection, and only that one's failure
-# is told. Seen with the call at the last moment: it took 0.8 s, longer than the grace of a drain.
+# is told. Seen with the call at the last moment: it took 0.8 s, longer than the grace of a drain. That call
+# may be silent too: after the fourth of these it is made once more, still before that moment.
 HOLD_MS = 8_000
 ANSWER_US = 2_000_000
 SILENT_US = 500_000
+DOUBT_US = 1_000_000
+DOUBTS_MOST = 2
 # The next watch follows the last answer at once, but not sooner than this after the last call: an answer
 # without news that does not wait would otherwise be asked for in a tight loop. The limit is 200 ms.
 CALL_GAP_US = 50_000
@@ -164,7 +167,7 @@
         self._watching = False
         self._whole = False  # the next call asks for the whole list
         self._strange = False  # this address has not told a list yet: the version held is another's
-        self._doubted = False  # the last watch was silent: the next call must not wait
+        self._doubts = 0  # calls in a row that must not wait, as there may be news already
         self._unheard_at: int | None = None  # since when calls have failed, or a watch was silent
         self.late_us = 0  # of the list being told: for so long, at most, it has counted as told already
         self._calling = False
@@ -181,6 +184,11 @@
         if on and not self._calling:
             self._call()
 
+    def begin(self) -> None:
+        """Ask at once what there is, and watch from then on: all of it counts as told from the start."""
+        self._doubts = 1
+        self.watch(True)
+
     def fetch(self) -> None:
         """Ask for the whole list once; a watch under way is left for it and renewed after."""
         self._whole = True
@@ -205,9 +213,8 @@
         self._loop.cancel(self._next)
         self._calling = True
         self._called_at = self._loop.now
-        waits = not self._whole and not self._doubted
-        limit = HOLD_MS * 1000 + SILENT_US if waits else ANSWER_US
-        self._limit = self._loop.after(limit, self._on_silence)
+        limit = DOUBT_US if self._doubts else HOLD_MS * 1000 + SILENT_US
+        self._limit = self._loop.after(ANSWER_US if self._whole else limit, self._on_silence)
         if self._stream is None:
             try:
                 self._stream = Stream.connect(self._loop, self._pool, self._address, self)
@@ -221,7 +228,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._drop_body()
         self._done = False
-        hold = 0 if self._doubted else HOLD_MS
+        hold = 0 if self._doubts else HOLD_MS
         query = "" if self._whole else f"?from={self._seq}&hold_ms={hold}"
         host, port = self._address
         request = f"GET /v1/endpoints{query} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n"
@@ -242,12 +249,12 @@
             self._unheard_at = self._loop.now
 
     def _on_silence(self) -> None:
-        if self._whole or self._doubted or not self._watching:
+        if self._whole or self._doubts >= DOUBTS_MOST or not self._watching:
             self._fail("no answer in time")
         else:
             self._hang_up()
             self._miss()
-            self._doubted = True
+            self._doubts += 1
             self._call()
 
     def _fail(self, why: str) -> None:
@@ -279,7 +286,8 @@
             self._fail(wrong)
             return
         self._loop.cancel(self._limit)
-        self._calling = self._whole = self._strange = self._doubted = False
+        self._calling = self._whole = self._strange = False
+        self._doubts = 0
         self._seq = told.seq
         self.late_us = 0 if self._unheard_at is None else self._loop.now - self._unheard_at
         self._unheard_at = None
--- a/larchhaven/net/node.py
+++ b/larchhaven/net/node.py
@@ -177,7 +177,8 @@
         self._look_at_suspensions()
         if not self._config.settings.subscribe:
             # The simulator's "automatic" sends news unasked; over HTTP nothing comes without a watch.
-            self._discovery.watch(True)
+            self._discovery.begin()
+            self._broker.hear_first()
         if self._config.socket_fd is not None:
             self._handover.begin(self._open)
         else:
@@ -250,11 +251,11 @@
 
     def _on_list(self, told: HostList | None) -> None:
         if told is None:
-            self._broker.queue(api.FleetList(api.ListKind.FAILED))
+            self._broker.heard(api.FleetList(api.ListKind.FAILED))
             return
         kind = api.ListKind.COMPLETE if told.whole else api.ListKind.CHANGES
         # What comes late has counted as told before: the drain rule's time runs from then.
-        self._broker.queue(self._directory.take(kind, told, self._loop.now - self._discovery.late_us))
+        self._broker.heard(self._directory.take(kind, told, self._loop.now - self._discovery.late_us))
 
     def _on_probe(self, host: str, result: api.Result, latency_us: int, report: api.Report | None) -> None:
         if report is not None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -10,7 +10,7 @@
 
 from larchhaven import interface as api
 from larchhaven.choice import RECENT_MOST, STARTED, Balancer
-from tests.world import PLAIN, START, arrival, balancer, ended, entries, fleet, of, report
+from tests.world import PLAIN, SECOND, START, arrival, balancer, ended, entries, fleet, of, report
 
 
 def test_lowest_reported_ratio_is_taken() -> None:
@@ -672,3 +672,15 @@
         made.handle(now, [ended(request, 0, "s0", api.Result.OK, finished=True)])
     server = made.fleet["s0"]
     assert len(server.recent) == RECENT_MOST and abs(server.own) < 1e-6
+
+
+@pytest.mark.parametrize("grace", [300_000, 500_000, 3_000_000])
+@pytest.mark.parametrize("instances", [1, 3, 200])
+def test_failed_call_is_repeated_within_the_grace_of_drains_where_lists_are_pushed(
+    grace: int, instances: int
+) -> None:
+    """Guards the drain rule: nothing is asked for, and yet all that is on the list counts as told."""
+    made = balancer(subscribe=False, drain_grace_us=grace, instances=instances, ask_within_us=10 * SECOND)
+    for turn in range(6):
+        failed = made.handle(START + turn * SECOND, [api.FleetList(api.ListKind.FAILED)])
+        assert [action.delay_us <= grace // 2 for action in of(api.SetTimer, failed)] == [True]
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 import time
 
@@ -50,6 +51,16 @@
         assert sock is not None
         return sock, text.split(b"\r\n")[0].decode()
 
+    def take_next(self, sock: socket.socket) -> str:
+        """Wait for the next call on a connection."""
+        text, limit = b"", time.monotonic() + PATIENCE_S
+        while not text.endswith(b"\r\n\r\n"):
+            assert time.monotonic() < limit, "no call came"
+            self.turn()
+            with contextlib.suppress(BlockingIOError):
+                text += sock.recv(4096)
+        return text.split(b"\r\n")[0].decode()
+
     def answer(self, sock: socket.socket, body: bytes) -> None:
         """Answer a call, and wait until something is told."""
         before = len(self.told)
@@ -72,6 +83,7 @@
     monkeypatch.setattr(discovery_module, "HOLD_MS", 60)
     monkeypatch.setattr(discovery_module, "ANSWER_US", 60_000)
     monkeypatch.setattr(discovery_module, "SILENT_US", 60_000)
+    monkeypatch.setattr(discovery_module, "DOUBT_US", 60_000)
     return _Service()
 
 
@@ -106,17 +118,41 @@
     assert service.told[0] is not None and service.told[0].hosts[0].health == "draining"
 
 
-def test_second_silence_in_a_row_is_a_failure_and_the_next_call_does_not_wait_either(
+def test_third_silence_in_a_row_is_a_failure_and_the_next_call_does_not_wait_either(
     service: _Service,
 ) -> None:
+    """Guards against a new connection that is silent as well: the second call was the last, and too late."""
     service.calls.watch(True)
-    cut = [service.take()[0] for _ in range(2)]
+    calls = [service.take() for _ in range(3)]
+    assert [call.split("=")[-1] for _, call in calls] == ["60 HTTP/1.1", "0 HTTP/1.1", "0 HTTP/1.1"]
+    assert service.told == []
     service.wait(1)
-    assert service.told == [None] and len(cut) == 2
+    assert service.told == [None]
     service.calls.watch(True)
     assert service.take()[1] == "GET /v1/endpoints?from=7&hold_ms=0 HTTP/1.1"
 
 
+def test_last_call_in_doubt_is_out_before_what_was_missed_counts_as_told() -> None:
+    """Guards the constants: by the protocol that is two seconds after the end of the wait asked for."""
+    assert discovery_module.SILENT_US + discovery_module.DOUBT_US < 2_000_000
+
+
+@pytest.mark.parametrize("silent", ["at once", "in the middle of an answer", "while followed elsewhere"])
+def test_news_are_asked_for_however_a_watch_falls_silent(service: _Service, silent: str) -> None:
+    service.calls.watch(True)
+    sock, _ = service.take()
+    if silent == "in the middle of an answer":
+        sock.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{"seq":8')
+    if silent == "while followed elsewhere":
+        service.take()  # in doubt already, when the configuration names another address
+        service.calls.follow(service.listener.getsockname())
+    sock, call = service.take()
+    assert ("hold_ms=0" in call) == (silent != "while followed elsewhere")
+    service.answer(sock, f'{{"seq":8,"whole":true,"hosts":[{DRAINS}]}}'.encode())
+    assert service.told[0] is not None and service.told[0].hosts[0].health == "draining"
+    assert service.take_next(sock).endswith("?from=8&hold_ms=60 HTTP/1.1")
+
+
 READY = '{"host":"s0","dial":"127.0.0.1:1"}'
 DRAINS = '{"host":"s0","dial":"127.0.0.1:1","health":"draining"}'
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -6,6 +6,7 @@
 import copy
 import json
 import os
+import select
 import signal
 import socket
 import subprocess
@@ -286,6 +287,24 @@
     client.close()
 
 
+PATIENT = [{**service, "aim": 40_000_000, "deadline": 60_000_000} for service in SETTINGS["services"]]
+
+
+@pytest.mark.parametrize("proxy", [{"services": PATIENT}], indirect=True)
+def test_list_is_heard_first_at_a_start_where_lists_are_pushed(proxy: Proxy) -> None:
+    """Guards the drain rule: the last process's list is old, and all news count from the first moment."""
+    clients = [proxy.client(opening("c=chat,d=50000,g=ab")) for _ in range(4)]
+    late = proxy.client("PING")
+    assert late.line() == "PONG"  # what came before it has been read, and a whole turn has passed
+    late.send("PING")
+    assert late.line() == "PONG"
+    assert not select.select(proxy.instances, [], [], 0)[0]
+    told = json.dumps({"seq": 8, "whole": False, "hosts": [host("s0", proxy.instances[0], "draining")]})
+    assert "hold_ms=0" in answer_watch(Wire(proxy.discovery.accept()[0]), told)
+    for _ in clients:
+        assert proxy.accept(proxy.instances[1]).line()
+
+
 @pytest.mark.parametrize("proxy", [{"discovery": "subscribe"}], indirect=True)
 def test_clients_of_a_draining_instance_are_told_to_move(proxy: Proxy) -> None:
     """Guards against clients that learn of a drain only when their instance leaves and cuts them off."""
