Wait for a line's end at a second signal: the process left before MOVE could follow it

Seen by reading, then forced on real sockets with the tests' clock: connections end at the proxy, an instance is in the middle of a line, and a second SIGTERM comes: the process left after 50 ms, with the client told nothing. Ruled out: the same at a first signal and at a move for a drain, where the rest of the line and MOVE arrive, or the end after half a second (three cases that pass on the program before). At fault: Stopping._leave_when_heard, which looked at parting streams only. Change: it looks at connections still held as well, where they end here; the bound of a second stays.

--- a/larchhaven/net/stopping.py
+++ b/larchhaven/net/stopping.py
@@ -139,7 +139,8 @@
             self._loop.stop()
 
     def _leave_when_heard(self) -> None:
-        if self._pool.parting:
+        # Where connections end here, one whose instance is in the middle of a line is moved after that line.
+        if self._pool.parting or (self._broker.held() and not self._settings.pass_through):
             self._loop.after(LOOK_US, self._leave_when_heard)
         else:
             self._loop.stop()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -17,6 +17,7 @@
 from larchhaven import interface as api
 from larchhaven.interface import Effect, Scope
 from larchhaven.net.buffers import SIZE, Buffer
+from larchhaven.net.stopping import LOOK_US, Stopping
 from tests.test_leaks import LINE, Bench
 from tests.world import PLAIN
 
@@ -258,6 +259,49 @@
     assert read(sock) == (b"MOVE\r\n." if first == "move" else b"BYE\r\n.") and bench.broker.held() == 0
 
 
+def half_said(bench: Bench) -> tuple[socket.socket, socket.socket]:
+    """Bring up a connection whose instance is in the middle of a line; return both ends."""
+    sock = bench.client(LINE % 1)
+    bench.spin(4)
+    instance = bench.instances[0]
+    instance.send(b"UP 5\r\nhalf ")
+    bench.spin()
+    assert read(sock) == b"UP 5\r\nhalf "
+    return sock, instance
+
+
+@pytest.mark.parametrize("rest", [b"a line\r\n", b"a line\r", b""])
+def test_move_waits_for_the_end_of_a_line_but_not_for_ever(bench: Bench, rest: bytes) -> None:
+    sock, instance = half_said(bench)
+    bench.broker.move_all()
+    bench.spin(2, 200_000)
+    assert read(sock) == b""
+    instance.send(rest)
+    bench.spin(3, 200_000)
+    assert read(sock) == rest + (b"MOVE\r\n." if rest.endswith(b"\n") else b".")
+    assert bench.broker.held() == 0
+
+
+@pytest.mark.parametrize("rest", [b"a line\r\n", b""])
+def test_second_signal_to_stop_waits_for_the_end_of_a_line_but_not_for_ever(
+    bench: Bench, rest: bytes
+) -> None:
+    """Guards a connection that ends here: the process left before the line was over, and MOVE never came."""
+    sock, instance = half_said(bench)
+    stopping = Stopping(bench.loop, bench.broker, bench.listener, bench.pool, PLAIN, shared=False)
+    vars(bench.loop)["_running"] = True
+    stopping.begin(0)
+    stopping.hurry()
+    bench.spin(3, LOOK_US)
+    assert vars(bench.loop)["_running"]
+    instance.send(rest)
+    bench.spin(4)
+    assert read(sock) == rest + (b"MOVE\r\n." if rest else b"")
+    sock.close()
+    bench.spin(10, 100_000)
+    assert not vars(bench.loop)["_running"]
+
+
 @pytest.mark.parametrize("how", ["end", "reset"])
 def test_both_sides_end_in_one_turn(bench: Bench, how: str) -> None:
     sock = bench.client(LINE % 1)
