--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -242,14 +242,20 @@
     assert read(sock) == b"ERR\r\n."
 
 
-@pytest.mark.parametrize("first", ["move", "BYE"])
-def test_move_and_last_line_in_one_turn_are_one_end(bench: Bench, first: str) -> None:
+def standing(bench: Bench, said: bytes = b"") -> tuple[socket.socket, socket.socket]:
+    """Bring up a connection whose instance has said this much more; return both ends."""
     sock = bench.client(LINE % 1)
     bench.spin(4)
     instance = bench.instances[0]
-    instance.send(b"UP 5\r\n")
+    instance.send(b"UP 5\r\n" + said)
     bench.spin()
-    assert read(sock) == b"UP 5\r\n"
+    assert read(sock) == b"UP 5\r\n" + said
+    return sock, instance
+
+
+@pytest.mark.parametrize("first", ["move", "BYE"])
+def test_move_and_last_line_in_one_turn_are_one_end(bench: Bench, first: str) -> None:
+    sock, instance = standing(bench)
     instance.send(b"BYE\r\n")
     if first == "BYE":
         bench.spin(1)
@@ -259,20 +265,9 @@
     assert read(sock) == (b"MOVE\r\n." if first == "move" else b"BYE\r\n.") and bench.broker.held() == 0
 
 
-def half_said(bench: Bench) -> tuple[socket.socket, socket.socket]:
-    """Bring up a connection whose instance is in the middle of a line; return both ends."""
-    sock = bench.client(LINE % 1)
-    bench.spin(4)
-    instance = bench.instances[0]
-    instance.send(b"UP 5\r\nhalf ")
-    bench.spin()
-    assert read(sock) == b"UP 5\r\nhalf "
-    return sock, instance
-
-
 @pytest.mark.parametrize("rest", [b"a line\r\n", b"a line\r", b""])
 def test_move_waits_for_the_end_of_a_line_but_not_for_ever(bench: Bench, rest: bytes) -> None:
-    sock, instance = half_said(bench)
+    sock, instance = standing(bench, b"half ")
     bench.broker.move_all()
     bench.spin(2, 200_000)
     assert read(sock) == b""
@@ -287,7 +282,7 @@
     bench: Bench, rest: bytes
 ) -> None:
     """Guards a connection that ends here: the process left before the line was over, and MOVE never came."""
-    sock, instance = half_said(bench)
+    sock, instance = standing(bench, b"half ")
     stopping = Stopping(bench.loop, bench.broker, bench.listener, bench.pool, PLAIN, shared=False)
     vars(bench.loop)["_running"] = True
     stopping.begin(0)
@@ -304,11 +299,7 @@
 
 @pytest.mark.parametrize("how", ["end", "reset"])
 def test_both_sides_end_in_one_turn(bench: Bench, how: str) -> None:
-    sock = bench.client(LINE % 1)
-    bench.spin(4)
-    instance = bench.instances[0]
-    instance.send(b"UP 5\r\n")
-    bench.spin()
+    sock, instance = standing(bench)
     for end in (sock, instance):
         leave(end, bench, how)
     bench.spin()
