Groups look at up to three servers in turn; a crossing's price is no load to admission

At fault: ZONE_BAND counted a crossing's price three times in the ratio (0.3 there), and _fill passed that on to admission as load; _look saw one server of a group, and took the next of its order unseen if that was high. Tests: two new ones fail without it; the near tie's was fitted to three times the price, and now asserts both sides of once the price.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -27,7 +27,6 @@
 RATE_SPAN_US = 5_000_000  # arrivals are counted over several report lags, so that bursts show
 STALE_US = 10_000_000  # a report loses half of what it tells in this time, and the ranking is made anew
 HEAD, HEAD_FRESH_US = 8, 1_000_000
-ZONE_BAND = 3  # a server of another zone stands higher by this multiple of a crossing's price
 HEAVY = 2.0  # from this multiple of the mean load on, a connection's own load counts in the ratios
 FULL_RATIO, SLOW_US = 1.0, 2_000_000  # added to the ratio of one that is full or slow, for so long after
 PROBE_WAIT = 0.2  # a request waits for the probes made for it for this part of its set-up aim at most
@@ -48,10 +47,10 @@
 DRAIN_RUSH, DRAIN_MOST = 4.0, 2.0
 LEAVE_SHARE = 0.8  # an instance that stops moves its connections within this part of the time left to it
 SATURATED = 2.0  # a report above this is of a jam and counts as this much: ratios run beyond the load
-# A server over the last of these gets nothing new. Between the first two, by the median of the others or the
-# lowest and the band for groups, arrivals are refused: those of the least worth for their load first.
-REFUSE_FROM, REFUSE_ALL, FILLED = 0.5, 0.75, 0.85
-GROUP_BAND = 0.3  # so far above the lowest servers are near ties for a group, whose work they would share
+# A server over the third of these gets nothing new. Between the first two, by the median of the others or the
+# lowest and the last if that is less, arrivals are refused: those of the least worth for their load first.
+REFUSE_FROM, REFUSE_ALL, FILLED, SPREAD = 0.5, 0.75, 0.85, 0.3
+GROUP_BAND, GROUP_LOOKS = 0.4, 3  # so far above the lowest are near ties for a group; looks at them, in turn
 # One instance's part stands for so many at most unseen; from so many on several keep what each knows.
 SPEAKS_FOR, MANY, MIX = 4, 8, 0x9E3779B97F4A7C15
 DENSITIES = 32  # what an arrival is worth is ranked among so many before it
@@ -279,10 +278,10 @@
         graced = self.now < server.told_at + self.settings.drain_grace_us - self.settings.tick_us
         return server if server.state is State.READY or graced else None
 
-    def _resume_held(self, conn: Conn) -> None:
+    def _resume_held(self, conn: Conn, then: Callable[[Conn], None] | None = None) -> None:
         conn.turn += 1
         if not conn.done and conn.out is None and conn.id in self.conns:
-            self._place(conn)
+            (then or self._place)(conn)
 
     def may_begin(self, now: int, request: int) -> bool:
         """Rule 2 as the first byte is about to go out, however long the connection took to come up."""
@@ -534,13 +533,16 @@
         """Refresh the apparently lowest just before placing; a steady sweep would be stale or dear."""
         wait = int(PROBE_WAIT * self.settings.classes[conn.cls].aim_us)
         near, shares = self._band(conn)
-        looks = min(int(self.probe_credit), len(near)) if conn.deadline - self.now > 4 * wait else 0
+        most = 1 if conn.group is None else GROUP_LOOKS
+        again = conn.turn < 2 * most and conn.deadline - self.now > 4 * wait  # a wait is begun and ended
+        looks = min(int(self.probe_credit), len(near)) if again else 0
         # Twice as many draws as probes, less those drawn twice.
         drawn = self.rng.choices(near, shares, k=2 * looks) if looks else []
         for server in list(dict.fromkeys(drawn))[:looks]:
-            self._probe(server)
-            self.waiting[server.id].append(conn)
-            conn.looks += 1
+            if not conn.turn or server.report_at + wait <= self.now:
+                self._probe(server)
+                self.waiting[server.id].append(conn)
+                conn.looks += 1
         if conn.looks:
             self._hold(conn, wait)
         else:
@@ -568,7 +570,7 @@
         for conn in self.waiting.pop(event.server, ()):
             conn.looks -= 1
             if conn.looks == 0:
-                self._resume_held(conn)
+                self._resume_held(conn, self._look)  # a group may have to go on to the next
 
     def _take_report(self, server: Server, report: api.Report | None, latency_us: int) -> None:
         told = api.Report() if report is None else report
@@ -666,16 +668,20 @@
             # Others fill what was low and connections leave what was high, so a report ages toward the mean.
             ratio += mean + (server.ratio - mean) / (1 + (self.now - server.report_at) / STALE_US)
         if server.zone != self.settings.zone:
-            ratio += ZONE_BAND * self.settings.prices.cross_zone
+            ratio += self.settings.prices.cross_zone
         return ratio if max(server.slow_until, server.full_until) <= self.now else ratio + FULL_RATIO
 
     def _fill(self, server: Server) -> float:
-        """The ratio; slow messages, so at any load at some sites, count only where no report tells of it."""
+        """The load alone; slow messages, so at any load at some sites, count where no report tells of it."""
         marked = server.ratio is not None and server.slow_until > self.now >= server.full_until
-        return self._ratio(server) - (FULL_RATIO if marked else 0.0)
+        crossing = self.settings.prices.cross_zone if server.zone != self.settings.zone else 0.0
+        return self._ratio(server) - (FULL_RATIO if marked else 0.0) - crossing
 
     def _reorder(self, server: Server) -> None:
-        """Put one server in its new place of the ranking, or take it out if it is not ready."""
+        """Put one server in its new place of the ranking, or take it out if it is not ready.
+
+        Between the times at which all are ranked anew, only servers with news change their place.
+        """
         if server.entry is not None:
             del self.ranking[bisect_left(self.ranking, server.entry)]
             server.entry = None
@@ -684,19 +690,13 @@
             server.ranked_at = self.now
             insort(self.ranking, server.entry)
 
-    def _rank_all(self) -> None:
-        """Rank every ready server anew; between these, only servers with news change their place."""
-        for server in self.fleet.values():
-            server.entry = (self._ratio(server), server.tie, server) if server.state is State.READY else None
-            server.ranked_at = self.now
-        self.ranking = sorted(s.entry for s in self.fleet.values() if s.entry is not None)
-        self.ranked_at = self.now
-
     def _band(self, conn: Conn) -> tuple[list[Server], list[float]]:
         """The near-tie band of the lowest ratios, and the share of each server in it."""
         now = self.now
         if now - self.ranked_at > STALE_US:
-            self._rank_all()
+            self.ranked_at = now
+            for server in self.fleet.values():
+                self._reorder(server)
         for entry in self.ranking[:HEAD]:
             if now - entry[2].ranked_at > HEAD_FRESH_US:
                 self._reorder(entry[2])
@@ -799,7 +799,7 @@
             return bool(usable)
         weights = list(accumulate(s.weight for s in room))
         median = self._fill(room[bisect_left(weights, weights[-1] / 2)])
-        pressure = median if blind else min(median, self._fill(room[0]) + GROUP_BAND)
+        pressure = median if blind else min(median, self._fill(room[0]) + SPREAD)
         return rank < (pressure - REFUSE_FROM) / (REFUSE_ALL - REFUSE_FROM)
 
     def _close_cold(self, server: Server, connections: float) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -143,10 +143,23 @@
     b = balancer(0, zones=2, prices=api.Prices(cross_zone=0.02))
     near, far = api.ServerEntry("s0", zone=0), api.ServerEntry("s1", zone=1)
     b.handle(START, [api.FleetList(api.ListKind.COMPLETE, 2, (near, far))])
-    b.handle(START, [report(0, 0.35), report(1, 0.30)])
-    assert of(api.Send, b.handle(START + 1, [arrival(1, load=0.01)]))[0].server == "s0"
-    b.handle(START + 2, [report(0, 0.55), report(1, 0.30)])
-    assert of(api.Send, b.handle(START + 3, [arrival(2, load=0.01)]))[0].server == "s1"
+    b.handle(START, [report(0, 0.315), report(1, 0.30)])
+    assert of(api.Send, b.handle(START + 1, [arrival(1, load=0.001)]))[0].server == "s0"
+    b.handle(START + 2, [report(0, 0.35), report(1, 0.30)])  # no near tie: it saves more than it costs
+    assert of(api.Send, b.handle(START + 3, [arrival(2, load=0.001)]))[0].server == "s1"
+
+
+def test_price_of_a_crossing_makes_no_server_look_full() -> None:
+    """Guards admission where a crossing is dear: idle servers of other zones once passed for jammed ones."""
+    b = balancer(0, zones=2, prices=api.Prices(cross_zone=0.8))
+    servers = [api.ServerEntry(f"s{i}", zone=int(i > 0)) for i in range(5)]
+    b.handle(START, [api.FleetList(api.ListKind.COMPLETE, 2, tuple(servers))])
+    b.handle(START, [report(0, 0.7), *(report(i, 0.1) for i in range(1, 5))])
+    for i in range(40):  # what an arrival is worth is ranked among others
+        b.handle(START, [api.Arrival(i, 0, 1_200_000, load=0.001), api.ClientGone(i)])
+    assert of(api.Refuse, b.handle(START + 1, [arrival(99, load=0.002)])) == []
+    b.handle(START + 2, [report(i, 0.9) for i in range(5)])
+    assert of(api.Refuse, b.handle(START + 3, [arrival(100, load=0.002)]))
 
 
 def test_midflow_connection_returns_to_its_holder_while_that_is_known() -> None:
@@ -457,6 +470,28 @@
     assert of(api.Send, b.handle(START + 5_000_001, [one_of(5, 3)]))[0].server == home
 
 
+def test_group_goes_on_to_its_next_server_while_looks_show_that_one_is_far_above() -> None:
+    """Guards groups where few reports are known: one look found the first full, and the next went unseen."""
+    b = balancer(12, can_probe=True)
+    b.handle(START, [report(i, 0.1) for i in range(12)])
+    for i in range(1, 9):  # what probes may cost is saved up
+        b.handle(START, [api.Arrival(i, 0, 1_200_000, load=0.001, at="s0"), api.ClientGone(i)])
+    order, now = list[str](), START + 1_000_000
+    looked = [p.server for p in of(api.Probe, b.handle(now, [one_of(5, 20)]))][:1]
+    while looked and len(order) < 12:
+        now, order = now + 1000, order + looked
+        ratio = 0.7 if len(order) < 3 else 0.2
+        actions = b.handle(now, [api.ProbeResult(looked[0], api.Result.OK, 500, api.Report(ratio=ratio))])
+        looked = [p.server for p in of(api.Probe, actions)]
+    assert len(set(order)) == len(order) == 3
+    assert [s.server for s in of(api.Send, actions)] == order[-1:]
+    # The next of the group begins where the first ended up, and stays there.
+    begun = b.handle(now + 1, [one_of(5, 21)])
+    assert [p.server for p in of(api.Probe, begun)][:1] == order[-1:]
+    done = b.handle(now + 2, [api.ProbeResult(order[-1], api.Result.OK, 500, api.Report(ratio=0.3))])
+    assert [s.server for s in of(api.Send, done)] == order[-1:]
+
+
 def test_servers_that_take_nothing_new_do_not_make_the_fleet_look_empty() -> None:
     """Guards admission where connections run out before load does.
 
@@ -469,7 +504,8 @@
         b.handle(START, [api.Arrival(i, 0, 1_200_000, load=0.001), api.ClientGone(i)])
     for i in range(4):
         b.fleet[f"s{i}"].full_until = START + 2_000_000
-    b._rank_all()
+    for server in b.fleet.values():
+        b._reorder(server)
     assert of(api.Refuse, b.handle(START + 1, [arrival(99, load=0.002)]))
 
 
