A group's request goes to a server that was looked at for it, not on to one unseen

At fault: _place drew anew after the last look, and an unseen server passes for the mean (_group_band); each arrival also spent a probe on the oldest report, so that two looks were left of three (_refresh). Change: when looks are spent, the lowest of those looked at that is not full is taken; the oldest report is asked for when a request's looks leave credit. Tests: nobody is probed where that is not allowed, which a slip in this change broke.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, field, replace
 from functools import partial
-from itertools import accumulate, islice, takewhile
+from itertools import accumulate, islice
 from zlib import crc32
 
 from larchhaven import interface as api
@@ -25,8 +25,7 @@
 PROBE_SPEND, PROBES_LEAST, PROBES_MOST = 0.006, 1, 8  # points that a request may spend on probes; how many
 FIRST_LOAD, LEARN = 0.04, 0.05  # a connection's load before any is told; weight of a new sample in means
 RATE_SPAN_US = 5_000_000  # arrivals are counted over several report lags, so that bursts show
-STALE_US = 10_000_000  # a report loses half of what it tells in this time, and the ranking is made anew
-HEAD, HEAD_FRESH_US = 8, 1_000_000
+STALE_US, RANK_US = 10_000_000, 1_000_000  # a report tells half as much after this; all are ranked so often
 HEAVY = 2.0  # from this multiple of the mean load on, a connection's own load counts in the ratios
 FULL_RATIO, SLOW_US = 1.0, 2_000_000  # added to the ratio of one that is full or slow, for so long after
 PROBE_WAIT = 0.2  # a request waits for the probes made for it for this part of its set-up aim at most
@@ -98,6 +97,7 @@
     tried: list[Server] = field(default_factory=list)
     doubted: list[Server] = field(default_factory=list)  # perhaps not they but the request is at fault
     looks: int = 0  # probes it waits for
+    looked: list[Server] = field(default_factory=list)  # probed for it
     tenant: int = 0
     turn: int = 0  # counts its waits, so that a stale timer does not end a later one
 
@@ -116,7 +116,6 @@
     state: State = State.GONE
     started_at: int = -1  # unlike any that a list tells
     entry: tuple[float, float, Server] | None = None  # its place in the ranking, if ready
-    ranked_at: int = 0
     ratio: float | None = None  # load over capacity as last reported
     report_at: int = 0
     slow_until: int = 0  # its messages take long
@@ -532,7 +531,7 @@
     def _look(self, conn: Conn) -> None:
         """Refresh the apparently lowest just before placing; a steady sweep would be stale or dear."""
         wait = int(PROBE_WAIT * self.settings.classes[conn.cls].aim_us)
-        near, shares = self._band(conn)
+        near, shares = self._band(conn, looking=True)
         most = 1 if conn.group is None else GROUP_LOOKS
         again = conn.turn < 2 * most and conn.deadline - self.now > 4 * wait  # a wait is begun and ended
         looks = min(int(self.probe_credit), len(near)) if again else 0
@@ -543,15 +542,16 @@
                 self._probe(server)
                 self.waiting[server.id].append(conn)
                 conn.looks += 1
+                conn.looked.append(server)
         if conn.looks:
             self._hold(conn, wait)
         else:
             self._place(conn)
 
     def _refresh(self) -> None:
-        """Probe the server with the oldest report: nothing else tells of a jam, or that one is over."""
+        """Probe the server with the oldest report, if looks leave any: it may be jammed, or no longer be."""
         idle = [e[2] for e in self.ranking if e[2].id not in self.waiting and e[2].ejected_until <= self.now]
-        if idle and self.probe_credit >= 1:
+        if idle and self.probe_credit >= max(min(self.probes_each, GROUP_LOOKS), 1):
             self._probe(min(idle, key=lambda server: server.report_at))
 
     def _probe(self, server: Server) -> None:
@@ -687,29 +687,23 @@
             server.entry = None
         if server.state is State.READY:
             server.entry = (self._ratio(server), server.tie, server)
-            server.ranked_at = self.now
             insort(self.ranking, server.entry)
 
-    def _band(self, conn: Conn) -> tuple[list[Server], list[float]]:
+    def _band(self, conn: Conn, looking: bool = False) -> tuple[list[Server], list[float]]:
         """The near-tie band of the lowest ratios, and the share of each server in it."""
-        now = self.now
-        if now - self.ranked_at > STALE_US:
-            self.ranked_at = now
+        if self.now - self.ranked_at > RANK_US:
+            self.ranked_at = self.now
             for server in self.fleet.values():
                 self._reorder(server)
-        for entry in self.ranking[:HEAD]:
-            if now - entry[2].ranked_at > HEAD_FRESH_US:
-                self._reorder(entry[2])
-        usable = self._usable(conn)
         if conn.group is not None:
-            drawn = self._group_band(conn.group, usable)
+            drawn = self._draw_for_group(conn, conn.group, looking)
             return ([], []) if drawn is None else ([drawn], [1.0])
         # All instances read the same late reports and would flood the lowest server together. The load
         # expected of the others meanwhile is poured over the lowest ratios as water would settle.
         poured = conn.load + self._expected_from_others()
         level, capacity, filled = 0.0, 0.0, 0.0
         near: list[tuple[float, Server]] = []
-        for ratio, server in usable:
+        for ratio, server in self._usable(conn):
             need = (ratio - level) * capacity
             if filled + need > poured:
                 break
@@ -732,15 +726,20 @@
             if conn.ran_on is None or self._allowed(conn, server):
                 yield ratio, server
 
-    def _group_band(self, group: int, usable: Iterator[tuple[float, Server]]) -> Server | None:
+    def _draw_for_group(self, conn: Conn, group: int, looking: bool) -> Server | None:
         """The one server of the near ties that all instances draw for a group: each that holds any pays."""
-        lowest = next(usable, None)
-        if lowest is None:
-            return None
-        near = [lowest[1], *(s for _, s in takewhile(lambda e: e[0] <= lowest[0] + GROUP_BAND, usable))]
-        # Weighted rendezvous: over all groups a server wins by its weight; CRCs alone would favour a few.
-        points = [((crc32(s.mark, group) * MIX >> 32) % 2**32 + 0.5) / 2**32 for s in near]
-        return max(zip(points, near, strict=True), key=lambda e: math.log(e[0]) / e[1].weight)[1]
+        usable = list(self._usable(conn))
+
+        def order(server: Server) -> float:
+            # Weighted rendezvous: over all groups a server wins by its weight; CRCs alone would favour a few.
+            point = ((crc32(server.mark, group) * MIX >> 32) % 2**32 + 0.5) / 2**32
+            return math.log(point) / server.weight
+
+        drawn = max((s for r, s in usable if r <= usable[0][0] + GROUP_BAND), key=order, default=None)
+        if looking or drawn in conn.looked:
+            return drawn
+        # Looks are spent: the lowest seen is better than one unseen, where the others may all go as well.
+        return next((s for _, s in usable if s in conn.looked and self._fill(s) <= FILLED), drawn)
 
     def _expected_from_others(self) -> float:
         """Load that the other instances place within the time that a report lags, were they like this one."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -298,6 +298,13 @@
     assert of(api.Send, actions) == [] and of(api.SetTimer, actions)
 
 
+def test_nobody_is_probed_where_that_is_not_allowed() -> None:
+    b = balancer(3, can_probe=False)
+    b.handle(START, [report(i, 0.9) for i in range(3)])
+    asked = [b.handle(START + n, [arrival(n, load=0.001), one_of(5, 100 + n)]) for n in range(1, 20)]
+    assert not any(of(api.Probe, actions) for actions in asked)
+
+
 def test_server_out_of_sight_is_still_probed() -> None:
     """Guards against a jam that no answer tells of: probes went to the lowest servers alone."""
     b = balancer(6, can_probe=True)
