--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -694,7 +694,9 @@
         if self.now - self.ranked_at > RANK_US:
             self.ranked_at = self.now
             for server in self.fleet.values():
-                self._reorder(server)
+                entry = self._ratio(server), server.tie, server
+                server.entry = entry if server.state is State.READY else None
+            self.ranking = sorted(s.entry for s in self.fleet.values() if s.entry is not None)
         if conn.group is not None:
             drawn = self._draw_for_group(conn, conn.group, looking)
             return ([], []) if drawn is None else ([drawn], [1.0])
