Cold servers are filled by the settings' tip multiple, not by one site's

At fault: COLD_FILL, fitted to the first site; it is 0.8 of the settings' tip_multiple now, the same there. Ruled out: that it goes over the rule: against what a server takes in balance in that time, by the site files, the pace is 1.9 times on the third customer's site and 7.3 times on the first, where the rule has held. Test: a pace that follows the multiple; fails without it.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -31,7 +31,7 @@
 PROBE_WAIT = 0.2  # a request waits for the probes made for it for this part of its set-up aim at most
 TRY_SHARE = 0.5  # an attempt leaves another try the set-up aim, or this part of the time left if shorter
 HOLD_SHARE = 0.25  # a request without a ready server is looked at this often, in parts of its set-up aim
-COLD_FILL = 2.0  # all instances together fill a cold server this many times as fast as in its warm-up
+COLD_FILL = 0.8  # all instances together fill a cold server so many tip_multiples as fast as in its warm-up
 # First time out of an ejected server, the most it doubles to, and how long until the next is a first one.
 EJECT_US, EJECT_MOST_US, PROVEN_US = 2_000_000, 30_000_000, 10_000_000
 EJECT_PART = 0.5  # with more of the fleet ejected the cause is shared, and ejection is not heeded
@@ -808,8 +808,9 @@
         # Closed until the integral of its part has paid for them: a token bucket without a store.
         if server.warm_at <= self.now:
             return
-        first, cold = self.settings.cold_from, self.settings.cold_us
-        pace = COLD_FILL * server.weight / max(self.mean_load, 1e-6) / cold / len(self.present)
+        limits, first, cold = self.settings, self.settings.cold_from, self.settings.cold_us
+        fill = COLD_FILL * limits.tip_multiple * server.weight
+        pace = fill / max(self.mean_load, 1e-6) / cold / len(self.present)
         age = max(self.now - server.started_at, 0)
         growth = max(1 - first, 1e-9) / (2 * cold)
         due = first * age + growth * age * age + connections / pace
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -477,6 +477,18 @@
     assert of(api.Send, b.handle(START + 5_000_001, [one_of(5, 3)]))[0].server == home
 
 
+def test_cold_server_is_filled_as_the_settings_multiple_allows() -> None:
+    """Guards other deployments: a pace fitted to one multiple left servers idle where another allows more."""
+    sent = []
+    for multiple in (2.0, 4.0):
+        b = balancer(0, cold_us=10_000_000, cold_from=0.5, tip_multiple=multiple)
+        started = api.ServerEntry("s0", weight=4.0, started_at=START)
+        b.handle(START, [api.FleetList(api.ListKind.COMPLETE, 2, (started,))])
+        made = [b.handle(START + n * 10_000, [arrival(n, load=0.04)]) for n in range(200)]
+        sent.append(sum(len(of(api.Send, actions)) for actions in made))
+    assert 1.8 * sent[0] <= sent[1] <= 2.2 * sent[0], sent
+
+
 def test_group_goes_on_to_its_next_server_while_looks_show_that_one_is_far_above() -> None:
     """Guards groups where few reports are known: one look found the first full, and the next went unseen."""
     b = balancer(12, can_probe=True)
