Groups pass over only servers without a report; their band ends where one is full

At fault: _draw_for_group took the lowest looked at also where the group's own server had a report, and a band of 0.4 held servers over 0.85, which _place then refuses to fill. Ruled out: crossings (no price there), machine (the module before, the same hour).

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -737,8 +737,9 @@
             point = ((crc32(server.mark, group) * MIX >> 32) % 2**32 + 0.5) / 2**32
             return math.log(point) / server.weight
 
-        drawn = max((s for r, s in usable if r <= usable[0][0] + GROUP_BAND), key=order, default=None)
-        if looking or drawn in conn.looked:
+        most = max(usable[0][0], min(usable[0][0] + GROUP_BAND, FILLED)) if usable else 0.0
+        drawn = max((s for r, s in usable if r <= most), key=order, default=None)
+        if looking or drawn is None or drawn.ratio is not None:
             return drawn
         # Looks are spent: the lowest seen is better than one unseen, where the others may all go as well.
         return next((s for _, s in usable if s in conn.looked and self._fill(s) <= FILLED), drawn)
@@ -808,9 +809,8 @@
         # Closed until the integral of its part has paid for them: a token bucket without a store.
         if server.warm_at <= self.now:
             return
-        limits, first, cold = self.settings, self.settings.cold_from, self.settings.cold_us
-        fill = COLD_FILL * limits.tip_multiple * server.weight
-        pace = fill / max(self.mean_load, 1e-6) / cold / len(self.present)
+        first, cold, most = self.settings.cold_from, self.settings.cold_us, self.settings.tip_multiple
+        pace = COLD_FILL * most * server.weight / max(self.mean_load, 1e-6) / cold / len(self.present)
         age = max(self.now - server.started_at, 0)
         growth = max(1 - first, 1e-9) / (2 * cold)
         due = first * age + growth * age * age + connections / pace
