A server whose probe failed is not probed again for the same request

At fault: _look, which drew the same server again as it had no fresh report. A server is looked at once for a request now. That test fails without this, and passes with it.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -538,7 +538,7 @@
         # Twice as many draws as probes, less those drawn twice.
         drawn = self.rng.choices(near, shares, k=2 * looks) if looks else []
         for server in list(dict.fromkeys(drawn))[:looks]:
-            if not conn.turn or server.report_at + wait <= self.now:
+            if server not in conn.looked and (not conn.turn or server.report_at + wait <= self.now):
                 self._probe(server)
                 self.waiting[server.id].append(conn)
                 conn.looks += 1
