Tests for where a group is placed when looks are spent; load and rank told apart

Change: a test for each, which fails without its mend (tried one by one); _load is the estimate, _ratio adds the crossing and the marks, _fill the marks that are load.

--- a/larchhaven/choice.py
+++ b/larchhaven/choice.py
@@ -656,7 +656,7 @@
     def _mean(self) -> float:
         return self.ratio_sum / self.ratio_weight if self.ratio_weight > 1e-6 else 0.0
 
-    def _ratio(self, server: Server) -> float:
+    def _load(self, server: Server) -> float:
         """Estimated load over capacity: the last report, aged, and own changes that it cannot contain."""
         mean = self._mean()
         unseen = 1 if self.ratio_weight > 1e-6 else min(len(self.present), SPEAKS_FOR)  # nobody reports
@@ -667,21 +667,21 @@
         else:
             # Others fill what was low and connections leave what was high, so a report ages toward the mean.
             ratio += mean + (server.ratio - mean) / (1 + (self.now - server.report_at) / STALE_US)
-        if server.zone != self.settings.zone:
-            ratio += self.settings.prices.cross_zone
-        return ratio if max(server.slow_until, server.full_until) <= self.now else ratio + FULL_RATIO
+        return ratio
 
-    def _fill(self, server: Server) -> float:
-        """The load alone; slow messages, so at any load at some sites, count where no report tells of it."""
-        marked = server.ratio is not None and server.slow_until > self.now >= server.full_until
+    def _ratio(self, server: Server) -> float:
+        """What it is ranked by: its load, the price of a crossing, and more while it is slow or full."""
         crossing = self.settings.prices.cross_zone if server.zone != self.settings.zone else 0.0
-        return self._ratio(server) - (FULL_RATIO if marked else 0.0) - crossing
+        marked = max(server.slow_until, server.full_until) > self.now
+        return self._load(server) + crossing + FULL_RATIO * marked
 
-    def _reorder(self, server: Server) -> None:
-        """Put one server in its new place of the ranking, or take it out if it is not ready.
+    def _fill(self, server: Server) -> float:
+        """Its load, more while full; slow messages, so at any load at some sites, count without a report."""
+        slow = server.ratio is None and server.slow_until > self.now
+        return self._load(server) + FULL_RATIO * (slow or server.full_until > self.now)
 
-        Between the times at which all are ranked anew, only servers with news change their place.
-        """
+    def _reorder(self, server: Server) -> None:
+        """Put one server with news in its new place of the ranking, or take it out if it is not ready."""
         if server.entry is not None:
             del self.ranking[bisect_left(self.ranking, server.entry)]
             server.entry = None
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -511,6 +511,44 @@
     assert [s.server for s in of(api.Send, done)] == order[-1:]
 
 
+def looked_at(ratios: Sequence[float], *known: api.Event) -> tuple[list[str], list[api.Send]]:
+    """Have a group's request look at servers that mostly are unknown; return them, and where it went."""
+    b = balancer(12, can_probe=True)
+    b.handle(START, [report(i, 0.1) for i in range(2, 4)])  # the lowest; the mean stands for the others
+    for i in range(1, 9):  # what probes may cost is saved up
+        b.handle(START, [api.Arrival(i, 0, 1_200_000, load=0.001, at="s2"), api.ClientGone(i)])
+    order, actions = list[str](), b.handle(START + 100, [*known, one_of(9, 20)])
+    for step, ratio in enumerate(ratios):
+        order += [p.server for p in of(api.Probe, actions)][:1]
+        told = api.ProbeResult(order[-1], api.Result.OK, 500, api.Report(ratio=ratio))
+        actions = b.handle(START + 1000 * (step + 1), [told])
+    return order, of(api.Send, actions)
+
+
+def test_group_is_placed_on_the_lowest_looked_at_not_on_one_unseen() -> None:
+    """Guards servers of which few know anything: 50 connections met on one in three seconds; it shed them."""
+    order, sent = looked_at([0.8, 0.7, 0.75])
+    assert len(set(order)) == 3
+    assert [s.server for s in sent] == [order[1]]
+
+
+def test_group_takes_its_next_server_unlooked_at_where_that_has_a_report() -> None:
+    """Guards small fleets, where all is known: a full server that was looked at was taken before that one."""
+    order, sent = looked_at([0.8, 0.4])
+    assert [s.server for s in sent] == order[1:]
+    known = api.ProbeResult(order[1], api.Result.OK, 500, api.Report(ratio=0.4))
+    assert [s.server for s in looked_at([0.8], known)[1]] == order[1:]
+
+
+def test_group_s_near_ties_end_where_a_server_is_full() -> None:
+    """Guards against refusals while others have room: one over 0.85 stood in the band, and took nothing."""
+    for group in range(24):
+        b = balancer(6)
+        b.handle(START, [report(i, 0.5 if i % 2 else 0.88) for i in range(6)])
+        sent = of(api.Send, b.handle(START + 1, [one_of(group)]))
+        assert [int(s.server[1:]) % 2 for s in sent] == [1]
+
+
 def test_servers_that_take_nothing_new_do_not_make_the_fleet_look_empty() -> None:
     """Guards admission where connections run out before load does.
 
