Cold servers take tokens that expire: no burst uses one of every proxy at once

Cause: slow_start gave each proxy a bucket that stays open once its debt is paid, so 32 proxies hold 32 connections ready; four servers crash, and all of them are used within half a second. Evidence: trace of placements on a scratch copy: 21 at the cold server in 0.5 s, one a proxy, buckets open for 1 to 5 s; the settings allow about 8 in 1.5 s, 19 with the rule's slack. Breaker, ejection and gossip had seen nothing yet: ruled out. Mend: tokens in turn, which expire; what is valid at once plus what comes meanwhile stays within 0.8 of the limit and one of its roots. Also: `cold` of 0 with a clock ahead divided by zero.

--- a/larchhaven/routing/balancer.py
+++ b/larchhaven/routing/balancer.py
@@ -176,6 +176,7 @@
             live_peers=self._live_peers,
             arrivals=self.arrivals,
             load_estimate=self._load_estimate,
+            slow_start=self._slow_start,
             ejection=self._ejection,
             retry_policy=self._retry_policy,
         )
--- a/larchhaven/routing/endpoint_list.py
+++ b/larchhaven/routing/endpoint_list.py
@@ -149,7 +149,6 @@
         if endpoint.started_at_us > server.started_at_us:
             server.started_at_us = endpoint.started_at_us
             self._load_estimate.forget_server(server)
-            # With jitter, as not all proxies are to send their first connection together.
             self._slow_start.begin_warm_up(server, self._rng.random())
         self._ranking.reorder_server(server)
 
--- a/larchhaven/routing/placement.py
+++ b/larchhaven/routing/placement.py
@@ -170,7 +170,7 @@
         self._breaker.begin_half_open_attempt()
         request.begin_attempt(server)
         timeout_us = self._attempt_timeout_us(request)
-        self._slow_start.reserve_load(server, request.load)
+        self._slow_start.take_tokens(server, request.load)
         self._ranking.apply_load_change(server, request.load)
         self._scheduler.emit(StartAttempt(request.id, server.id, timeout_us))
 
--- a/larchhaven/routing/ranking.py
+++ b/larchhaven/routing/ranking.py
@@ -26,6 +26,7 @@
 from larchhaven.routing.scheduler import Scheduler
 from larchhaven.routing.server import RankingEntry, Server
 from larchhaven.routing.settings import RoutingSettings
+from larchhaven.routing.slow_start import SlowStart
 
 RANKING_INTERVAL_US = 1_000_000  # all servers are ranked anew this often, as reports age
 SLOW_OR_FULL_US = 2_000_000  # a server counts as slow or full for this long
@@ -58,6 +59,7 @@
         live_peers: LivePeers,
         arrivals: ArrivalStatistics,
         load_estimate: LoadEstimate,
+        slow_start: SlowStart,
         ejection: OutlierEjection,
         retry_policy: RetryPolicy,
     ) -> None:
@@ -70,6 +72,7 @@
         self._arrivals = arrivals
         self._load_estimate = load_estimate
         self._load_ratio = load_estimate.load_ratio  # called for every change of load
+        self._slow_start = slow_start
         self._ejection = ejection
         self._retry_policy = retry_policy
         self._ranked_at_us = 0
@@ -139,7 +142,7 @@
         for ratio, _, server in entries:
             if (
                 (server.ejected_until_us > now_us and ejections_enforced)
-                or server.closed_until_us > now_us
+                or (server.warm_at_us > now_us and self._slow_start.is_closed(server))
                 or server in tried_servers
             ):
                 continue
--- a/larchhaven/routing/server.py
+++ b/larchhaven/routing/server.py
@@ -46,7 +46,9 @@
         ejection_us: Length of the last ejection, before jitter (``outlier_ejection``).
         ejected_until_us: When the last ejection ends (``outlier_ejection``).
         warm_at_us: When its slow start ends (``slow_start``).
-        closed_until_us: Its warm-up capacity is used up until then (``slow_start``).
+        token_until_us: Warm time until which this proxy's token is valid (``slow_start``).
+        token_interval_us: Warm time between that one and the next (``slow_start``).
+        next_token_at_us: Warm time at which the next one comes (``slow_start``).
     """
 
     id: str
@@ -73,4 +75,6 @@
     ejection_us: int = 0
     ejected_until_us: int = -EJECTION_RESET_US
     warm_at_us: int = 0
-    closed_until_us: int = 0
+    token_until_us: float = 0.0
+    token_interval_us: float = 0.0
+    next_token_at_us: float = 0.0
--- a/tests/routing/test_slow_start.py
+++ b/tests/routing/test_slow_start.py
@@ -22,6 +22,7 @@
     SECOND_US,
     START_US,
     actions_of,
+    chosen_servers,
     load_report,
     make_balancer,
     request_arrived,
@@ -45,6 +46,20 @@
     assert 1.8 * sent[0] <= sent[1] <= 2.2 * sent[0], sent
 
 
+@pytest.mark.parametrize("changes", [{"slow_start_us": 0}, {"collapse_delay_us": 0}])
+def test_server_is_used_where_a_time_of_slow_start_is_zero(changes: dict[str, int]) -> None:
+    """Guards settings at their limits, and servers whose clock is ahead."""
+    balancer = make_balancer(0, proxy_count=8, **changes)
+    started = Endpoint("s0", started_at_us=START_US + SECOND_US)
+    balancer.handle(START_US, [EndpointListUpdate(EndpointListKind.COMPLETE, 2, (started,))])
+    sent_us = [
+        now_us
+        for number, now_us in enumerate(range(START_US, START_US + 10 * SECOND_US, 20_000))
+        if chosen_servers(balancer.handle(now_us, [request_arrived(number)]))
+    ]
+    assert sent_us
+
+
 def test_cold_servers_take_their_part_while_the_warm_ones_are_near_full() -> None:
     """Guards a release of the servers: clients of all that drained went to the one still warm."""
     taken = 0
