Slow start goes by the loads observed, not by a mean that keeps its initial value

Cause: the mean load starts at 0.04 cores and takes 5% of each sample; at a proxy that meets five connections of 0.09 cores it stands at 0.05 to 0.06 while servers warm up and are gone. Mend: a mean of the loads that were reported or hinted, in which a few outweigh the initial one; slow start takes the larger of the two.

--- a/larchhaven/routing/arrival_statistics.py
+++ b/larchhaven/routing/arrival_statistics.py
@@ -9,6 +9,7 @@
 
 INITIAL_LOAD_CORES = 0.04  # of a connection, before any load is reported
 SAMPLE_WEIGHT = 0.05  # of a new sample in the moving means
+INITIAL_SAMPLES = 2  # the initial load counts as so many samples of the observed load
 MIN_LOAD_CORES = 1e-6  # a load that is divided by counts as this at least
 ARRIVAL_WINDOW_US = 5_000_000  # several report lags, so that bursts show
 
@@ -19,11 +20,15 @@
     Attributes:
         mean_load: Mean load of an arriving connection, in cores.
         class_loads: Mean reported load of a connection, by class, in cores.
+        observed_load: Mean of the loads that were reported or hinted, in cores. A few of them
+            outweigh the initial load, which the other means keep for longer.
     """
 
     def __init__(self, class_count: int, scheduler: Scheduler) -> None:
         self.mean_load = INITIAL_LOAD_CORES
         self.class_loads = [INITIAL_LOAD_CORES] * class_count
+        self.observed_load = INITIAL_LOAD_CORES
+        self._observed_samples = INITIAL_SAMPLES
         self._scheduler = scheduler
         self._arrivals_us: deque[int] = deque()
 
@@ -37,8 +42,15 @@
         self._arrivals_us.append(self._scheduler.now_us)
         self.mean_load += SAMPLE_WEIGHT * (load - self.mean_load)
 
+    def record_observed_load(self, load: float) -> None:
+        """Learn from the load that was reported or hinted of one connection."""
+        self._observed_samples += 1
+        weight = max(SAMPLE_WEIGHT, 1 / self._observed_samples)
+        self.observed_load += weight * (load - self.observed_load)
+
     def record_class_load(self, class_index: int, load: float) -> None:
         """Learn from the load that was reported of one connection of a class."""
+        self.record_observed_load(load)
         self.class_loads[class_index] += SAMPLE_WEIGHT * (load - self.class_loads[class_index])
 
     def arrivals_per_us(self) -> float:
--- a/larchhaven/routing/placement.py
+++ b/larchhaven/routing/placement.py
@@ -90,7 +90,11 @@
     def add_request(self, event: RequestArrived) -> Request:
         """Take in a request without placing it."""
         class_index = min(max(event.class_index, 0), len(self._classes) - 1)
-        load = self._arrivals.class_loads[class_index] if event.load is None else event.load
+        load = event.load
+        if load is None:
+            load = self._arrivals.class_loads[class_index]
+        else:
+            self._arrivals.record_observed_load(load)
         request = Request(
             event.request_id,
             class_index,
--- a/larchhaven/routing/slow_start.py
+++ b/larchhaven/routing/slow_start.py
@@ -111,8 +111,9 @@
         server.next_token_at_us = token_at_us + pace.interval_us
 
     def _connection_load(self) -> float:
-        """Return the mean load of a connection, in cores."""
-        return max(self._arrivals.mean_load, MIN_LOAD_CORES)
+        """Return the load of a connection, rather too high than too low."""
+        arrivals = self._arrivals
+        return max(arrivals.mean_load, arrivals.observed_load, MIN_LOAD_CORES)
 
     def _warm_time_us(self, server: Server) -> float:
         """Return the time since the start, each moment counted by the capacity then."""
--- a/tests/routing/test_cold_fleet.py
+++ b/tests/routing/test_cold_fleet.py
@@ -193,7 +193,8 @@
 
 
 @pytest.mark.parametrize("loads_are_hinted", [True, False])
-@pytest.mark.parametrize("seed", range(12))
+# In 98 and 186 a load that is learned too slowly is enough.
+@pytest.mark.parametrize("seed", [*range(12), 98, 186])
 def test_cold_servers_survive_clients_of_all_proxies_at_once(
     seed: int, loads_are_hinted: bool
 ) -> None:
