--- a/larchhaven/cli/model.py
+++ b/larchhaven/cli/model.py
@@ -82,12 +82,33 @@
     axes = _parse_axes(members, loss, detectors, seeds) if base is not None else None
     if base is None or axes is None:
         return ExitCode.UNUSABLE_INPUT
-    results = _run_experiments(sweep.expand_axes(base, axes), jobs)
+    try:
+        experiments = sweep.expand_axes(base, axes)
+    except ValueError as error:  # protobuf: a number that the field cannot hold
+        print(f"larchhaven model sweep: {error}", file=sys.stderr)
+        return ExitCode.UNUSABLE_INPUT
+    if not _are_usable(experiments):
+        return ExitCode.UNUSABLE_INPUT
+    results = _run_experiments(experiments, jobs)
     cells = sweep.save_results(out, results)
     _print_cells(cells, as_json)
     return exit_code_for(all(cell.agreed_fraction == 1.0 for cell in cells))
 
 
+def _are_usable(experiments: Sequence[Experiment]) -> bool:
+    """Print what is wrong with the first experiment that cannot be run at its size."""
+    from larchhaven.model.experiment_file import check_experiment
+
+    for experiment in experiments:
+        complaints = check_experiment(experiment)
+        if complaints:
+            cell = f"{experiment.members} members, loss {experiment.links.loss_percent:g}%"
+            text = f"with {cell}: {complaints[0]}"
+            print(f"larchhaven model sweep: {text}", file=sys.stderr)
+            return False
+    return True
+
+
 def _run_experiments(experiments: Sequence[Experiment], jobs: int) -> list[ExperimentResult]:
     from larchhaven.model import sweep
 
@@ -195,7 +216,7 @@
             detectors=[Experiment.Detector.Value(name.upper()) for name in detectors],
             seeds=seeds,
         )
-    except ValueError as error:
+    except (ValueError, OverflowError) as error:
         print(f"larchhaven model sweep: {error}", file=sys.stderr)
         return None
 
--- a/larchhaven/model/experiment_file.py
+++ b/larchhaven/model/experiment_file.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from google.protobuf import text_format
+
 from larchhaven.model.errors import ProcessNumbersError
 from larchhaven.model.experiment_pb2 import Experiment, Fault
 from larchhaven.model.process_selection import parse_numbers
@@ -35,11 +37,24 @@
     parsed = parse_message(text, Experiment)
     experiment = parsed.message
     complaints = [f"{c.line}:{c.column}: {c.text}" for c in parsed.complaints]
-    if not complaints:
-        members = max(experiment.members, 1)
-        for i, fault in enumerate(experiment.faults):
-            complaints += [f"faults[{i}]: {text}" for text in _check_fault(fault, members)]
-    return ParsedExperiment(experiment, complaints)
+    return ParsedExperiment(experiment, complaints or _check_faults(experiment))
+
+
+def check_experiment(experiment: Experiment) -> list[str]:
+    """Return what is wrong with an experiment whose fields were set by a program."""
+    from larchhaven.operator.text_parser import parse_message
+
+    parsed = parse_message(text_format.MessageToString(experiment), Experiment)
+    return [c.text for c in parsed.complaints] or _check_faults(experiment)
+
+
+def _check_faults(experiment: Experiment) -> list[str]:
+    members = max(experiment.members, 1)
+    return [
+        f"faults[{i}]: {text}"
+        for i, fault in enumerate(experiment.faults)
+        for text in _check_fault(fault, members)
+    ]
 
 
 def _check_fault(fault: Fault, members: int) -> Iterator[str]:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -211,6 +211,28 @@
     assert "sweep" in run("model", "sweep", str(path), "--members", "x", code=2).stderr
 
 
+@pytest.mark.parametrize(
+    ("option", "value", "complaint"),
+    [
+        ("--members", "8,4", "with 4 members, loss 0%: faults[1]: there is no member 6"),
+        ("--members", "0", "members"),
+        ("--members", "-3", "-3"),
+        ("--members", "inf", "infinity"),
+        ("--loss", "200", "loss_percent"),
+    ],
+)
+def test_sweep_that_an_experiment_does_not_allow_is_one_line(
+    tmp_path: Path, option: str, value: str, complaint: str
+) -> None:
+    """Guards sweeps: a worker process that raised ended all in a traceback."""
+    path = str(ROOT / "example" / "model" / "death.textproto")
+    out = ("--out", str(tmp_path), "--seeds", "1")
+    printed = run("model", "sweep", path, option, value, *out, code=2).stderr
+    assert complaint in printed
+    assert printed.count("\n") == 1
+    assert "Traceback" not in printed
+
+
 def test_model_search_counts_its_states() -> None:
     printed = json.loads(
         run("model", "search", "--scene", "accused", "--depth", "3", "--json").stdout
