--- a/larchhaven/cli/model.py
+++ b/larchhaven/cli/model.py
@@ -82,12 +82,8 @@
     axes = _parse_axes(members, loss, detectors, seeds) if base is not None else None
     if base is None or axes is None:
         return ExitCode.UNUSABLE_INPUT
-    try:
-        experiments = sweep.expand_axes(base, axes)
-    except ValueError as error:  # protobuf: a number that the field cannot hold
-        print(f"larchhaven model sweep: {error}", file=sys.stderr)
-        return ExitCode.UNUSABLE_INPUT
-    if not _are_usable(experiments):
+    experiments = _make_experiments(base, axes)
+    if experiments is None:
         return ExitCode.UNUSABLE_INPUT
     results = _run_experiments(experiments, jobs)
     cells = sweep.save_results(out, results)
@@ -95,18 +91,23 @@
     return exit_code_for(all(cell.agreed_fraction == 1.0 for cell in cells))
 
 
-def _are_usable(experiments: Sequence[Experiment]) -> bool:
-    """Print what is wrong with the first experiment that cannot be run at its size."""
+def _make_experiments(base: Experiment, axes: SweepAxes) -> list[Experiment] | None:
+    """Vary an experiment; print what is wrong and return None if one of them cannot be run."""
     from larchhaven.model.experiment_file import check_experiment
+    from larchhaven.model.sweep import expand_axes
 
+    try:
+        experiments = expand_axes(base, axes)
+    except ValueError as error:  # protobuf: a number that the field cannot hold
+        print(f"larchhaven model sweep: {error}", file=sys.stderr)
+        return None
     for experiment in experiments:
         complaints = check_experiment(experiment)
         if complaints:
             cell = f"{experiment.members} members, loss {experiment.links.loss_percent:g}%"
-            text = f"with {cell}: {complaints[0]}"
-            print(f"larchhaven model sweep: {text}", file=sys.stderr)
-            return False
-    return True
+            print(f"larchhaven model sweep: with {cell}: {complaints[0]}", file=sys.stderr)
+            return None
+    return experiments
 
 
 def _run_experiments(experiments: Sequence[Experiment], jobs: int) -> list[ExperimentResult]:
