--- a/tests/net/control/test_endpoint_watch.py
+++ b/tests/net/control/test_endpoint_watch.py
@@ -160,6 +160,14 @@
     assert watch_module.WATCH_SILENCE_US + watch_module.PROMPT_POLL_TIMEOUT_US < 2_000_000
 
 
+def test_call_after_two_silent_polls_is_sent_within_a_short_grace() -> None:
+    """Guards drains of half a second that a silent watch and two silent polls have missed."""
+    notified_us = 2_000_000  # after the end of the hold time, as the protocol says
+    shortest_grace_us = 500_000
+    polls_us = watch_module.MAX_PROMPT_POLLS * watch_module.PROMPT_POLL_TIMEOUT_US
+    assert watch_module.WATCH_SILENCE_US + polls_us < notified_us + shortest_grace_us
+
+
 @pytest.mark.parametrize(
     "silent", ["at once", "in the middle of an answer", "while followed elsewhere"]
 )
