--- /dev/null
+++ b/tests/simulated_site.py
@@ -0,0 +1,308 @@
+"""Plays a drawn deployment in simulated time; no measure of service, as servers only count load."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+from larchhaven.gossip.codec import encode
+from larchhaven.routing.actions import (
+    Action,
+    CancelAttempt,
+    CheckHealth,
+    FailRequest,
+    MigrateConnection,
+    RejectRequest,
+    SendGossip,
+    StartAttempt,
+    StartTimer,
+)
+from larchhaven.routing.balancer import Balancer
+from larchhaven.routing.events import (
+    AttemptEnded,
+    AttemptResult,
+    ConnectionEstablished,
+    ConnectionLoadChanged,
+    Endpoint,
+    EndpointListKind,
+    EndpointListUpdate,
+    Event,
+    GossipReceived,
+    HealthCheckCompleted,
+    LoadReport,
+    RequestArrived,
+    ServerState,
+    TimerFired,
+)
+from larchhaven.routing.settings import RoutingSettings
+from tests.deployments import SECOND_US, Deployment
+
+
+@dataclass
+class SimulatedServer:
+    """A server as it is."""
+
+    entry: Endpoint
+    load: float = 0.0
+    is_up: bool = True
+    is_silent: bool = False
+    is_full: bool = False
+    started: int = -(10**12)
+    connections: dict[tuple[int, int], float] = field(default_factory=dict)
+
+    def capacity(self, now: int, settings: RoutingSettings) -> float:
+        """What it can do now, in cores; it warms up evenly."""
+        warm = min((now - self.started) / max(settings.slow_start_us, 1), 1.0)
+        return self.entry.weight * (
+            settings.slow_start_initial_fraction
+            + (1 - settings.slow_start_initial_fraction) * max(warm, 0.0)
+        )
+
+
+class SimulatedSite:
+    """Plays a deployment in simulated time and judges each action as it comes."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.facts, self.settings = deployment.facts, deployment.settings
+        self.rng = random.Random(seed)
+        self.now = 1000 * SECOND_US
+        self.queue: list[tuple[int, int, Callable[[], None]]] = []
+        self.count = itertools.count()
+        self.servers = {entry.server_id: SimulatedServer(entry) for entry in deployment.servers}
+        self.proxies = [
+            Balancer(replace(self.settings, proxy_index=i), seed + i)
+            for i in range(self.settings.proxy_count)
+        ]
+        # By proxy and server, when the list said that it drains or is gone.
+        self.unready_since_us: dict[tuple[int, str], int] = {}
+        self.answer_due_us: dict[tuple[int, int], int] = {}  # by proxy and request
+        self.attempt_counts: dict[tuple[int, int], int] = defaultdict(int)
+        # By proxy and request, the number of the attempt in flight and its server.
+        self.in_flight: dict[tuple[int, int], tuple[int, str]] = {}
+        self.requests: dict[tuple[int, int], RequestArrived] = {}
+        self.answers: dict[str, int] = defaultdict(int)
+        mean = 1 / self.facts["connections_per_core"]
+        room = sum(server.entry.weight for server in self.servers.values()) * self.facts["load"]
+        self.loads = [mean * self.rng.uniform(0.3, 2.0) for _ in self.settings.classes]
+        self.arrivals_per_s = min(room / mean / self.facts["lifetime_s"] + 5, 60.0)
+        self._update_endpoints(
+            EndpointListKind.COMPLETE, [server.entry for server in self.servers.values()]
+        )
+
+    # Time
+
+    def after(self, delay_us: float, then: Callable[[], None]) -> None:
+        """Have something happen later."""
+        heapq.heappush(self.queue, (self.now + int(delay_us), next(self.count), then))
+
+    def play(self, seconds: float) -> None:
+        """Play on, clients arriving all the while; then let what is owed be answered."""
+        end = self.now + int(seconds * SECOND_US)
+        fault = self.facts["fault"]
+        self.after(seconds / 3 * SECOND_US, lambda: self._inject_fault(fault))
+        self._arrive(end)
+        last = end + max(c.deadline_us for c in self.settings.classes) + SECOND_US
+        while self.queue and self.queue[0][0] <= last:
+            self.now, _, then = heapq.heappop(self.queue)
+            then()
+        late = [key for key, until in self.answer_due_us.items() if until < last - SECOND_US // 2]
+        assert not late, f"without an answer: {late[:3]}"
+
+    def feed(self, proxy: int, event: Event) -> None:
+        """Hand an event to a proxy, and do what it says."""
+        for action in self.proxies[proxy].handle(self.now, [event]):
+            self._execute(proxy, action)
+
+    # What happens by itself
+
+    def _arrive(self, end: int) -> None:
+        if self.now >= end:
+            return
+        request_class = self.rng.randrange(len(self.settings.classes))
+        groups = self.facts["groups"]
+        arrival = RequestArrived(
+            next(self.count),
+            request_class,
+            self.settings.classes[request_class].deadline_us,
+            tenant_index=self.rng.randrange(self.facts["tenants"] + 1),  # the last is none
+            affinity_key=self.rng.randrange(10**6),
+            affinity_group=self.rng.randrange(groups) if groups else None,
+            is_mid_flow=self.settings.pass_through and self.rng.random() < 0.05,
+        )
+        self._send_request(arrival)
+        self.after(self.rng.expovariate(self.arrivals_per_s) * SECOND_US, lambda: self._arrive(end))
+
+    def _send_request(self, arrival: RequestArrived) -> None:
+        proxy = self.rng.randrange(len(self.proxies))
+        key = (proxy, arrival.request_id)
+        self.requests[key] = arrival
+        self.answer_due_us[key] = (
+            self.now
+            + arrival.budget_us
+            + self.settings.response_slack_us
+            + self.settings.timer_resolution_us
+        )
+        self.feed(proxy, arrival)
+
+    def _inject_fault(self, fault: str) -> None:
+        affected = self.rng.sample(sorted(self.servers), max(len(self.servers) // 4, 1))
+        for name in sorted(self.servers) if fault == "all full" else affected:
+            server = self.servers[name]
+            server.is_full, server.is_silent = fault == "all full", fault == "silent"
+            if fault in ("crash", "restart"):
+                server.is_up = False
+                self._reset_connections(server)
+                self.after(SECOND_US, partial(self._remove_server, server))
+                if fault == "restart":
+                    self.after(3 * SECOND_US, partial(self._restart_server, server))
+            elif fault == "drain":
+                server.entry = replace(server.entry, state=ServerState.DRAINING)
+                self._update_endpoints(EndpointListKind.CHANGES, [server.entry])
+
+    def _reset_connections(self, server: SimulatedServer) -> None:
+        for key in list(server.connections):
+            self._end_connection(key, server, AttemptResult.RESET)
+
+    def _remove_server(self, server: SimulatedServer) -> None:
+        self._update_endpoints(
+            EndpointListKind.CHANGES, [replace(server.entry, state=ServerState.REMOVED)]
+        )
+
+    def _restart_server(self, server: SimulatedServer) -> None:
+        server.is_up, server.started = True, self.now
+        server.entry = replace(server.entry, state=ServerState.READY, started_at_us=self.now)
+        self._update_endpoints(EndpointListKind.CHANGES, [server.entry])
+
+    def _update_endpoints(self, kind: EndpointListKind, entries: list[Endpoint]) -> None:
+        for proxy in range(len(self.proxies)):
+            for entry in entries:
+                if entry.state is ServerState.READY:
+                    self.unready_since_us.pop((proxy, entry.server_id), None)
+                else:
+                    self.unready_since_us.setdefault((proxy, entry.server_id), self.now)
+            self.feed(proxy, EndpointListUpdate(kind, next(self.count), tuple(entries)))
+
+    def _end_connection(
+        self, key: tuple[int, int], server: SimulatedServer, result: AttemptResult
+    ) -> None:
+        load = server.connections.pop(key, None)
+        if load is not None:
+            server.load -= load
+            attempt, name = self.in_flight.pop(key)
+            self.feed(key[0], AttemptEnded(key[1], attempt, name, result, 1000, is_final=True))
+
+    # What proxies do
+
+    def _execute(self, proxy: int, action: Action) -> None:
+        if isinstance(action, StartTimer):
+            assert action.delay_us > 0
+            self.after(action.delay_us, lambda: self.feed(proxy, TimerFired(action.timer_id)))
+        elif isinstance(action, StartAttempt):
+            self._start_attempt(proxy, action)
+        elif isinstance(action, CheckHealth):
+            assert self.settings.can_check_health
+            self.after(2000, lambda: self.feed(proxy, self._check_health(action.server_id)))
+        elif isinstance(action, SendGossip):
+            assert self.settings.can_gossip
+            assert len(encode(action.message)) <= 256
+            others = [p for p in range(len(self.proxies)) if p != proxy]
+            for peer in (
+                others
+                if action.peer_index is None
+                else [p for p in others if p == action.peer_index]
+            ):
+                self.after(3000, partial(self.feed, peer, GossipReceived(proxy, action.message)))
+        elif isinstance(action, RejectRequest | FailRequest):
+            self._answer((proxy, action.request_id), type(action).__name__)
+        elif isinstance(action, MigrateConnection):
+            self._migrate((proxy, action.request_id))
+        elif isinstance(action, CancelAttempt):
+            assert self.settings.can_cancel
+
+    def _answer(self, key: tuple[int, int], how: str) -> None:
+        until = self.answer_due_us.pop(key, None)
+        assert until is not None, "a second answer"
+        assert self.now <= until, "answered too late"
+        assert key not in self.in_flight, "answered while an attempt is in flight"
+        self.answers[how] += 1
+
+    def _migrate(self, key: tuple[int, int]) -> None:
+        if key in self.in_flight and key not in self.answer_due_us:
+            self._end_connection(key, self.servers[self.in_flight[key][1]], AttemptResult.CANCELLED)
+            again = replace(
+                self.requests[key],
+                request_id=next(self.count),
+                is_reconnect=True,
+                is_mid_flow=False,
+            )
+            self.after(200_000, lambda: self._send_request(again))
+
+    def _start_attempt(self, proxy: int, send: StartAttempt) -> None:
+        key = (proxy, send.request_id)
+        assert key in self.answer_due_us, "sent after the answer"
+        assert key not in self.in_flight, "two attempts in flight"
+        assert 0 < send.timeout_us <= self.answer_due_us[key] - self.now
+        self.attempt_counts[key] += 1
+        assert self.attempt_counts[key] <= self.settings.max_attempts
+        unready_since_us = self.unready_since_us.get((proxy, send.server_id))
+        assert (
+            unready_since_us is None or self.now <= unready_since_us + self.settings.drain_grace_us
+        ), "sent past the grace of a drain"
+        self.in_flight[key] = self.attempt_counts[key] - 1, send.server_id
+        server = self.servers[send.server_id]
+        ratio = server.load / server.capacity(self.now, self.settings)
+        wait = int(2000 * (1 + 50 * max(ratio - 0.9, 0.0)))
+        if server.is_silent or wait >= send.timeout_us:
+            self.after(send.timeout_us, lambda: self._end_attempt(key, AttemptResult.TIMEOUT))
+        elif not server.is_up:
+            self.after(1000, lambda: self._end_attempt(key, AttemptResult.UNREACHABLE))
+        elif server.is_full:
+            self.after(wait, lambda: self._end_attempt(key, AttemptResult.OVERLOADED))
+        else:
+            self.after(wait, lambda: self._establish(key, server))
+
+    def _end_attempt(self, key: tuple[int, int], result: AttemptResult) -> None:
+        attempt, name = self.in_flight.pop(key)
+        self.feed(key[0], AttemptEnded(key[1], attempt, name, result, 1000, is_final=False))
+
+    def _establish(self, key: tuple[int, int], server: SimulatedServer) -> None:
+        if not server.is_up or server.entry.state is ServerState.DRAINING:
+            self._end_attempt(key, AttemptResult.OVERLOADED)
+            return
+        assert self.answer_due_us.pop(key) >= self.now
+        self.answers["established"] += 1
+        load = self.loads[self.requests[key].class_index] * self.rng.uniform(0.5, 1.5)
+        server.connections[key] = load
+        server.load += load
+        if self.now < server.started + self.settings.slow_start_us:
+            most = self.settings.collapse_multiple * server.capacity(self.now, self.settings)
+            assert server.load <= most + 2 * max(self.loads), "a cold server pushed over"
+        attempt = self.in_flight[key][0]
+        self.feed(key[0], ConnectionEstablished(key[1], attempt, server.entry.server_id, 2000))
+        if self.settings.has_load_updates and key in self.in_flight:
+            self.feed(key[0], ConnectionLoadChanged(key[1], attempt, server.entry.server_id, load))
+        life = self.rng.expovariate(1 / self.facts["lifetime_s"]) * SECOND_US
+        self.after(life, lambda: self._end_connection(key, server, AttemptResult.OK))
+
+    def _check_health(self, name: str) -> HealthCheckCompleted:
+        server = self.servers[name]
+        if server.is_silent or not server.is_up:
+            return HealthCheckCompleted(
+                name,
+                AttemptResult.TIMEOUT if server.is_silent else AttemptResult.UNREACHABLE,
+                100_000,
+            )
+        ratio = server.load / server.capacity(self.now, self.settings)
+        fields = {
+            "load_ratio": ratio,
+            "utilization": min(ratio, 1.0),
+            "queue_length": 0.0,
+            "backlog_s": max(ratio - 1, 0.0),
+        }
+        report = LoadReport(**{name: fields[name] for name in self.facts["report_fields"]})
+        return HealthCheckCompleted(name, AttemptResult.OK, 2000, report)
--- a/tests/test_deployments.py
+++ b/tests/test_deployments.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.deployments import RANGES, SimulatedSite, draw
+from tests.deployments import RANGES, draw
+from tests.simulated_site import SimulatedSite
 
 
 @settings(max_examples=60, deadline=None, derandomize=True)
