Review case 1: draining servers' connections are cut off in a line, without MOVE

Ruled out: lines that stall (a line's end passes every 0.1 s), and the server's own end (it sees the proxy end the connection). At fault: ConnectionRelay waits for a read that ends exactly with a line, and gives up after 0.5 s.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,144 +1,146 @@
-"""An upgrade with 256 descriptors: the new process takes over connections and stops to accept."""
+"""Exam servers drain while they stream lines: connections are cut off in a line, without MOVE."""
 
 from __future__ import annotations
 
 import asyncio
-import json
-import signal
-import socket
+import random
 import sys
+from collections.abc import Iterator
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 import rig
 
-SOCKETS = 256
-MAX_CLIENTS = SOCKETS // 3  # "Clients hold at most a third of the descriptors for requests"
-SERVERS = 15
-STANDING = 62
-PER_S = 7.0
-SIDE_BY_SIDE_S = 5.0  # at most; the new process is ready within the 6 s that the page gives it
-LATER = 5
-CLASSES = [("cell-updates", 300, 1200, "idempotent"), ("notices", 800, 3200, "idempotent")]
-
-
-class Clients:
-    """The clients of the deployment; never more than a third of the descriptors at a time."""
-
-    def __init__(self, record: rig.Record, address: tuple[str, int]) -> None:
-        self.record = record
-        self.address = address
-        self.all: list[rig.Client] = []
-        self.most = MAX_CLIENTS - LATER
-        self.waiting = 0
-        self.standing = 0
-        self._tasks: set[asyncio.Task[None]] = set()
-
-    def come(self, *, is_retry: bool = False) -> bool:
-        """Let one more client come, unless as many as may come are there."""
-        if self.standing + self.waiting >= self.most:
-            return False
-        number = len(self.all)
-        name, _, budget_ms, _ = CLASSES[number % len(CLASSES)]
-        fields = f"c={name},g={number * 2654435761 % 2**32:x}"
-        client = rig.Client(self.record, f"{number + 1:016x}", fields, budget_ms)
-        self.all.append(client)
-        task = asyncio.create_task(self._run(client, is_retry))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return True
-
-    async def _run(self, client: rig.Client, is_retry: bool) -> None:
-        self.waiting += 1
-        answer = await client.open(self.address)
-        self.waiting -= 1
-        if answer is None:
-            client.close()
-        elif answer.startswith("UP"):
-            self.standing += 1
-            await client.talk()
-            client.close()
-            self.standing -= 1
-        elif answer.startswith("BUSY") and not is_retry:
-            await asyncio.sleep(int(answer.partition(" ")[2] or 0) / 1000)
-            self.come(is_retry=True)
-
-    async def come_for(self, seconds: float) -> None:
-        """Let clients come at the usual rate until as many as may come stand, or for a time."""
-        for _ in range(round(seconds * PER_S)):
-            if self.standing >= self.most:
-                return
-            self.come()
-            await asyncio.sleep(1 / PER_S)
-
-    def end(self) -> None:
-        """End all clients."""
-        for task in self._tasks:
-            task.cancel()
-        for client in self.all:
+SERVERS = 9
+DRAINED = 2  # not more than "a quarter of the exam servers begin to drain"
+CLIENTS = 64
+CLIENTS_PER_S = 10.0
+LINES_PER_S = 10.0
+MAX_PIECE_BYTES = 150
+WATCHED_S = 10.0
+CLASSES = [("soru-getir", 500, 2000, "idempotent"), ("cevap-kaydet", 500, 3000, "idempotent")]
+
+
+class StreamingServer(rig.Server):
+    """An exam server that streams questions, and returns each line of the client at once.
+
+    What it sends is cut at any byte, and the next piece follows soon.
+
+    Attributes:
+        cut_off: The ids of the connections that the proxy ended.
+    """
+
+    def __init__(self, record: rig.Record, name: str) -> None:
+        super().__init__(record, name)
+        self.cut_off: list[str] = []
+
+    async def talk(
+        self, identity: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send pieces of lines until the proxy ends the connection."""
+        unsent = bytearray()
+        sender = asyncio.create_task(self._send(identity, writer, unsent))
+        try:
+            while True:
+                unsent += await reader.readuntil(b"\r\n")
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.cut_off.append(identity)
+            self.record.line(self.name, f"{identity} is ended by the proxy")
+        finally:
+            sender.cancel()
+
+    async def _send(self, identity: str, writer: asyncio.StreamWriter, unsent: bytearray) -> None:
+        rng = random.Random(identity)
+        questions = self._make_questions(identity)
+        while True:
+            while len(unsent) < MAX_PIECE_BYTES:
+                unsent += next(questions)
+            size = rng.randint(1, MAX_PIECE_BYTES)
+            writer.write(bytes(unsent[:size]))
+            del unsent[:size]
+            await asyncio.sleep(size / 100 / LINES_PER_S)
+
+    def _make_questions(self, identity: str) -> Iterator[bytes]:
+        number = 0
+        while True:
+            number += 1
+            yield f"QUESTION {number:06} of {identity}".encode().ljust(98, b".") + b"\r\n"
+
+
+class Watcher:
+    """A client that reads its lines until its connection ends."""
+
+    def __init__(self, client: rig.Client) -> None:
+        self.client = client
+        self.is_moved = False
+        self.has_ended = False
+        self.rest = b""
+        self.lines = 0
+
+    async def watch(self, address: tuple[str, int]) -> None:
+        """Open the connection, and read it to its end."""
+        client = self.client
+        if not (await client.open(address) or "").startswith("UP"):
+            return
+        assert client.reader is not None
+        beat = asyncio.create_task(client.beat())
+        try:
+            while not self.is_moved:
+                self.is_moved = await client.reader.readuntil(b"\r\n") == b"MOVE\r\n"
+                self.lines += 1
+            client.record.line("client", f"{client.identity} is told MOVE")
+        except asyncio.IncompleteReadError as error:
+            self.rest = error.partial
+            text = f"{client.identity} ends after {self.lines} lines and {error.partial!r}"
+            client.record.line("client", text)
+        except ConnectionError as error:
+            client.record.line("client", f"{client.identity} is reset: {error}")
+        finally:
+            beat.cancel()
             client.close()
+        self.has_ended = True
 
 
 async def play(record: rig.Record, folder: Path) -> tuple[bool, str]:
     """Play the case."""
-    servers = [rig.Server(record, f"s{number:02}") for number in range(SERVERS)]
+    servers = [StreamingServer(record, f"s{number}") for number in range(SERVERS)]
     for server in servers:
         await server.start()
-    discovery = rig.Discovery(record, servers, ["n0"])
+    discovery = rig.Discovery(record, list(servers), ["n0"])
     await discovery.start()
-    settings = rig.make_settings(CLASSES, mode="pass", drain_grace_ms=2000, max_attempts=4)
-    configuration = rig.make_configuration("n0", settings, discovery, sockets=SOCKETS)
-    listener = socket.create_server((rig.HOST, 0), backlog=1024)
-    configuration["listen"] = "{}:{}".format(*listener.getsockname())
-    successor_configuration = {**configuration, "mgmt": f"{rig.HOST}:{rig.free_port()}"}
-    old = rig.Proxy(record, "old", configuration, folder / "files", listener.fileno())
-    new = rig.Proxy(record, "new", successor_configuration, folder / "files", listener.fileno())
-    clients = Clients(record, old.address)
+    configuration = rig.make_configuration("n0", rig.make_settings(CLASSES), discovery)
+    proxy = rig.Proxy(record, "n0", configuration, folder / "files")
+    watchers: list[Watcher] = []
+    tasks = []
     try:
-        old.start()
-        await old.wait_until_ready()
-        while clients.standing < STANDING:
-            clients.come()
-            await asyncio.sleep(1 / PER_S / 4)
-        current = old
+        proxy.start()
+        await proxy.wait_until_ready()
+        for number in range(CLIENTS):
+            name, _, budget_ms, _ = CLASSES[number % len(CLASSES)]
+            fields = f"c={name},g={number * 2654435761 % 2**32:x}"
+            client = rig.Client(record, f"{number + 1:016x}", fields, budget_ms)
+            watchers.append(Watcher(client))
+            tasks.append(asyncio.create_task(watchers[-1].watch(proxy.address)))
+            await asyncio.sleep(1 / CLIENTS_PER_S)
+        await asyncio.sleep(1)
         if rig.TROUBLE:
-            new.start()
-            await new.wait_for_yes()
-            current = new
-        await clients.come_for(SIDE_BY_SIDE_S)
-        if rig.TROUBLE:
-            old.send(signal.SIGTERM)
-        await asyncio.sleep(2)
-        _, metrics = await current.call("GET", "/v1/metrics")
-        pending = json.loads(metrics)["pending"]
-        used = sum(proxy.count_descriptors() for proxy in (old, new))
-        record.line(
-            "platform",
-            f"{clients.standing} clients stand, the process counts {pending};"
-            f" {used} of {SOCKETS} descriptors are open",
-        )
-        later = len(clients.all)
-        clients.most = MAX_CLIENTS
-        for _ in range(LATER):
-            if not clients.come():
-                raise rig.CouldNotRunError("clients hold a third of the descriptors already")
-            await asyncio.sleep(1 / PER_S)
-        await asyncio.sleep(max(budget_ms for _, _, budget_ms, _ in CLASSES) / 1000 + 1)
-        sent = [client for client in clients.all if client.sent_at is not None]
-        lost = [client for client in sent if not client.answer]
-        for client in lost:
-            record.line("case", f"lost: {client.identity}, sent at {client.sent_at:.3f}")
-        reason = (
-            f"{len(lost)} of {len(sent)} requests got no final answer"
-            f" ({sum(not client.answer for client in clients.all[later:])} of the last {LATER});"
-            f" {clients.standing} clients stood, {MAX_CLIENTS} are allowed"
-        )
-        return not lost, reason
+            for server in servers[:DRAINED]:
+                discovery.publish(server, "draining")
+        await asyncio.sleep(WATCHED_S)
+        ended_by_proxy = {identity for server in servers for identity in server.cut_off}
     finally:
-        clients.end()
-        old.close()
-        new.close()
-        listener.close()
+        for task in tasks:
+            task.cancel()
+        proxy.close()
+    ended = [watcher for watcher in watchers if watcher.has_ended]
+    lost = [w for w in ended if not w.is_moved and w.client.identity in ended_by_proxy]
+    for watcher in lost:
+        record.line("case", f"lost: {watcher.client.identity}, cut off in {watcher.rest!r}")
+    reason = (
+        f"of {len(watchers)} connections {len(ended)} ended,"
+        f" {len(lost)} of them cut off without MOVE while the exam server still answered"
+    )
+    return not lost, reason
 
 
 if __name__ == "__main__":
--- a/review/rig.py
+++ b/review/rig.py
@@ -151,6 +151,15 @@
         if not answer.startswith(b"UP"):
             return
         self.held.add(writer)
+        await self.talk(words[1], reader, writer)
+
+    async def talk(
+        self,
+        identity: str,  # noqa: ARG002
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Return each line of a client, until its connection ends."""
         while True:
             writer.write(await reader.readuntil(b"\r\n"))
 
@@ -424,8 +433,7 @@
             Whether the client was told to move.
         """
         assert self.reader is not None
-        assert self.writer is not None
-        beat = asyncio.create_task(self._beat(self.writer))
+        beat = asyncio.create_task(self.beat())
         try:
             while await self.reader.readuntil(b"\r\n") != b"MOVE\r\n":
                 pass
@@ -437,9 +445,11 @@
         self.record.line("client", f"{self.identity} is told MOVE")
         return True
 
-    async def _beat(self, writer: asyncio.StreamWriter) -> None:
+    async def beat(self) -> None:
+        """Send a line every 2 s."""
+        assert self.writer is not None
         while True:
-            writer.write(b"line\r\n")
+            self.writer.write(b"line\r\n")
             await asyncio.sleep(2)
 
     def close(self) -> None:
