Migration ends a relayed stream after a complete line, so that MOVE reaches the client

Cause: a migration waits for the end of the line in progress. Meanwhile the relay forwarded all that it had received and looked only then whether the last byte ended a line. With pieces that end within a line it never does, whatever ends inside the piece, and after half a second both sides were closed.

Change: while a migration waits, the server's data is forwarded to the end of its last complete line only; MOVE follows at once. Why this works: MOVE needs a place between two lines, and the first one that is received is now used.

--- a/larchhaven/net/text_protocol/connection_relay.py
+++ b/larchhaven/net/text_protocol/connection_relay.py
@@ -45,6 +45,7 @@
 
 # Compared for every block of data. Looking up an enum member takes several times as long.
 _RELAYING = _Phase.RELAYING
+_MIGRATING = _Phase.MIGRATING
 
 
 class _Side:
@@ -213,6 +214,8 @@
         inbox = side.stream.inbox
         if inbox is not None and (self._phase is _RELAYING or self._may_forward(side)):
             data = bytes(inbox.readable())
+            if self._phase is _MIGRATING and side is self._server:
+                data = self._until_last_line_end(data)
             accepted = side.other.stream.write(data)
             if accepted < len(data):
                 side.stream.pause_reading()  # until the other side has accepted the rest
@@ -228,6 +231,10 @@
             else:
                 self._server.stream.write_eof()
 
+    def _until_last_line_end(self, data: bytes) -> bytes:
+        """Cut the server's data after its last complete line, so that MOVE can follow."""
+        return data[: self._server.line_counter.find_last_line_end(data) or len(data)]
+
     def _may_forward(self, side: _Side) -> bool:
         return side is self._client or self._phase is not _Phase.MIGRATED
 
--- a/larchhaven/net/text_protocol/line_counter.py
+++ b/larchhaven/net/text_protocol/line_counter.py
@@ -47,5 +47,12 @@
             self.ends_with_cr = self.is_mid_line and data.endswith(b"\r")
         return completed
 
+    def find_last_line_end(self, data: bytes) -> int:
+        """Return the length of the longest prefix of the next bytes that ends a line, or 0."""
+        end = data.rfind(LINE_END)
+        if end >= 0:
+            return end + len(LINE_END)
+        return 1 if self.ends_with_cr and data.startswith(b"\n") else 0
+
     def _extend_head(self, data: bytes) -> None:
         self.head += data[: max(MAX_HEAD_BYTES - len(self.head), 0)]
--- a/tests/net/races/test_connection_ends.py
+++ b/tests/net/races/test_connection_ends.py
@@ -71,6 +71,30 @@
     assert harness.dispatcher.requests.count_requests() == 0
 
 
+@pytest.mark.parametrize(
+    ("pieces", "expected"),
+    [
+        ([b"line\r\nnext "], b"line\r\n"),
+        ([b"line\r\nnext\r\nthird "], b"line\r\nnext\r\n"),
+        ([b"li", b"ne\r\nnext "], b"line\r\n"),
+        ([b"line\r", b"\nnext "], b"line\r\n"),
+        ([b"line\r", b"\n\r"], b"line\r\n"),
+        ([b"line\r\n\r"], b"line\r\n"),
+    ],
+)
+def test_migration_ends_between_two_lines_although_each_piece_ends_within_a_line(
+    harness: InProcessProxy, pieces: list[bytes], expected: bytes
+) -> None:
+    """Guards against connections cut off in a line, without MOVE, while their server streams."""
+    sock, server = establish(harness, b"half ")
+    harness.dispatcher.connections.migrate_all_connections()
+    for piece in pieces:
+        server.send(piece)
+        harness.run(2, 100_000)
+    assert read(sock) == expected + b"MOVE\r\n."
+    assert harness.dispatcher.requests.count_requests() == 0
+
+
 @pytest.mark.parametrize("line_end", [b"a line\r\n", b""])
 def test_second_stop_signal_waits_for_the_end_of_a_line_within_a_limit(
     harness: InProcessProxy, line_end: bytes
