A request whose first answer is BYE counts as executed, and is not sent to a second server

Cause: the retry policy held the results after which a request may have run, and OK was not among them. In the simulator OK always follows an established connection; on sockets BYE may come first, and the protocol says of it that the request has run. So the next attempt was allowed, and without attempts left the answer would have been BUSY.

The random events of the invariants left OK out; with it they found a retry of a request that is not idempotent, and one outside its cell.

Change: the policy holds the results that prove that nothing ran (rejected, not connected, not sent); after any other the request may have run. Why this works: it is the protocol's own table, and an unlisted result is unsafe. The invariants now draw from all results.

--- a/larchhaven/routing/retries.py
+++ b/larchhaven/routing/retries.py
@@ -9,12 +9,11 @@
 from larchhaven.routing.server import Server
 from larchhaven.routing.settings import DeduplicationScope, Idempotency, RoutingSettings
 
-# Results after which the server may have executed the request.
-MAYBE_EXECUTED_RESULTS = (
-    AttemptResult.ERROR,
-    AttemptResult.TIMEOUT,
-    AttemptResult.RESET,
-    AttemptResult.CANCELLED,
+# Results that prove that the server has not executed the request. After any other it may have.
+NOT_EXECUTED_RESULTS = (
+    AttemptResult.OVERLOADED,
+    AttemptResult.UNREACHABLE,
+    AttemptResult.NOT_SENT,
 )
 
 
@@ -79,7 +78,7 @@
         self, request: Request, server: Server, result: AttemptResult, latency_us: int
     ) -> None:
         """Record the end of an attempt, and whether the server may have executed the request."""
-        if result in MAYBE_EXECUTED_RESULTS and request.first_executed_on is None:
+        if result not in NOT_EXECUTED_RESULTS and request.first_executed_on is None:
             request.first_executed_on = server
             request.first_executed_at_us = self._scheduler.now_us - latency_us
         request.tried_servers.append(server)
--- a/tests/net/races/test_retries.py
+++ b/tests/net/races/test_retries.py
@@ -28,9 +28,28 @@
         yield Idempotency.WITH_KEY, scope
 
 
+@pytest.mark.parametrize("answer", [b"BYE\r\n", b"BYE x0=0.5\r\n"])
+def test_request_that_a_server_has_served_to_its_end_is_not_sent_to_another(answer: bytes) -> None:
+    """Guards against a request that may run once running twice: BYE says that it has run."""
+    request_class = replace(BASIC_SETTINGS.classes[0], idempotency=Idempotency.NEVER)
+    harness = InProcessProxy(replace(BASIC_SETTINGS, classes=(request_class,)), PAIR)
+    try:
+        sock = harness.connect_client(REQUEST_LINE % 1)
+        harness.run(4)
+        harness.server_sockets[0].send(answer)
+        harness.run()
+        assert len(forwarded_requests(harness)) == 1
+        assert read(sock) == b"ERR\r\n."
+        harness.assert_everything_released()
+    finally:
+        harness.close()
+
+
 @pytest.mark.parametrize("outlasts_window", [False, True])
 @pytest.mark.parametrize("second_server", ["same cell", "other cell", "other zone"])
-@pytest.mark.parametrize("first_answer", [b"ERR\r\n", b"BUSY\r\n", b"MOVE\r\n", b"reset"])
+@pytest.mark.parametrize(
+    "first_answer", [b"ERR\r\n", b"BUSY\r\n", b"MOVE\r\n", b"BYE\r\n", b"reset"]
+)
 @pytest.mark.parametrize(("idempotency", "scope"), list(idempotency_cases()))
 def test_retry_is_checked_again_when_its_request_line_is_sent(
     idempotency: Idempotency,
--- a/tests/routing/test_invariants.py
+++ b/tests/routing/test_invariants.py
@@ -164,7 +164,7 @@
             if may_establish and self.rng.random() < 0.3:
                 self.established.add(request)
                 return ConnectionEstablished(request, number, attempt.server_id, 100)
-            result = self.rng.choice([r for r in AttemptResult if r is not AttemptResult.OK])
+            result = self.rng.choice(list(AttemptResult))
         if request in self.established:
             result = AttemptResult.RESET
         not_executed = result in NOT_EXECUTED_RESULTS
