An error of this process after a request was sent no longer counts as not sent

What callers would see: a request of an at_most_once class runs twice if the connection to its server breaks for lack of memory or descriptors after the request was written.

Cause: TextUpstreamAttempt.connection_lost took these errors for "not sent" in every phase of the attempt, and the retry policy takes that result for proof that nothing ran.

Change: once the last byte was written every lost connection is a reset; before, an error of this process is "not sent", as for a connect that fails at once (ENOBUFS was counted against the server there).

--- a/larchhaven/net/text_protocol/upstream_attempt.py
+++ b/larchhaven/net/text_protocol/upstream_attempt.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 from enum import Enum, auto
 
 from larchhaven.net.control.interfaces import AttemptObserver
@@ -129,14 +128,12 @@
 
     def connection_lost(self, code: int) -> None:
         """Fail: the request may have been executed if its last byte was written."""
-        if code in RESOURCE_EXHAUSTION_ERRNOS and code != errno.ENOBUFS:
-            self._fail(AttemptResult.NOT_SENT)
-        else:
-            self._fail(self._result_of_lost_connection())
+        self._fail(self._result_of_lost_connection(code))
 
-    def _result_of_lost_connection(self) -> AttemptResult:
-        is_sent = self._phase is _Phase.SENT
-        return AttemptResult.RESET if is_sent else AttemptResult.UNREACHABLE
+    def _result_of_lost_connection(self, code: int | None = None) -> AttemptResult:
+        if self._phase is _Phase.SENT:
+            return AttemptResult.RESET
+        return _result_of_connect_error(code)
 
     # Timeouts
 
--- a/tests/net/races/test_retries.py
+++ b/tests/net/races/test_retries.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import errno
+import socket
 from collections.abc import Iterator
 from dataclasses import replace
 
@@ -45,6 +47,33 @@
         harness.close()
 
 
+@pytest.mark.parametrize("code", [errno.ENOMEM, errno.ENOBUFS, errno.EMFILE, errno.ECONNRESET])
+def test_request_that_was_sent_is_not_sent_again_after_any_error(
+    monkeypatch: pytest.MonkeyPatch, code: int
+) -> None:
+    """Guards against a second execution after an error of this process, such as no memory."""
+    request_class = replace(BASIC_SETTINGS.classes[0], idempotency=Idempotency.NEVER)
+    harness = InProcessProxy(replace(BASIC_SETTINGS, classes=(request_class,)), PAIR)
+
+    def fail_to_read(sock: socket.socket, space: memoryview) -> int:
+        raise OSError(code, "no more")
+
+    try:
+        sock = harness.connect_client(REQUEST_LINE % 1)
+        harness.run(4)
+        assert read(harness.server_sockets[0]).startswith(b"OPEN ")
+        harness.server_sockets[0].send(b"UP 5\r\n")
+        with monkeypatch.context() as patch:
+            patch.setattr(socket.socket, "recv_into", fail_to_read)
+            harness.run(1)
+        harness.run()
+        assert forwarded_requests(harness) == []
+        assert read(sock) == b"ERR\r\n."
+        harness.assert_everything_released()
+    finally:
+        harness.close()
+
+
 @pytest.mark.parametrize("outlasts_window", [False, True])
 @pytest.mark.parametrize("second_server", ["same cell", "other cell", "other zone"])
 @pytest.mark.parametrize(
