--- a/larchhaven/net/text_protocol/connection_relay.py
+++ b/larchhaven/net/text_protocol/connection_relay.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from enum import Enum, auto
 
 from larchhaven.net.control.interfaces import ConnectionObserver
@@ -12,13 +11,11 @@
 from larchhaven.net.text_protocol import codec
 from larchhaven.net.text_protocol.line_counter import LineCounter
 from larchhaven.net.text_protocol.relay_state import RelayState, SideState
+from larchhaven.net.text_protocol.unanswered_lines import UNRESPONSIVE_US, UnansweredLines
 from larchhaven.routing.events import AttemptResult
 
 # Interval between checks for unanswered lines, whose age is reported as a delay.
 UNANSWERED_CHECK_INTERVAL_US = 1_000_000
-# If a line is unanswered for this long, the server is reported as unresponsive, and the connection
-# may be migrated.
-UNRESPONSIVE_US = 4_000_000
 # If a line is unanswered for this long, the connection is aborted. This must happen within 7 s, and
 # checks are 1 s apart.
 MAX_UNANSWERED_US = 5_500_000
@@ -30,8 +27,6 @@
 # Time that a migration waits for the end of the line in progress. After that, the connection is
 # closed without a MOVE.
 MIGRATION_GRACE_US = 500_000
-# Unanswered lines tracked per connection. If there are more, only the oldest are tracked.
-MAX_UNANSWERED_LINES = 64
 
 
 class _Phase(Enum):
@@ -136,7 +131,7 @@
         "_request_id",
         "_server",
         "_unanswered_check",
-        "_unanswered_since_us",
+        "_unanswered_lines",
     )
 
     def __init__(
@@ -155,7 +150,7 @@
         self._server = _Side(self, server)
         self._client.other = self._server
         self._server.other = self._client
-        self._unanswered_since_us: deque[int] = deque()
+        self._unanswered_lines = UnansweredLines()
         self._unanswered_check: TimerHandle | None = None
         self._close_timeout: TimerHandle | None = None
         self._final_line: codec.Ending | None = None
@@ -179,8 +174,8 @@
     def _restore(self, state: RelayState) -> None:
         self._client.restore(state.client)
         self._server.restore(state.server)
-        self._unanswered_since_us.extend(state.unanswered_since_us)
-        if self._unanswered_since_us:
+        self._unanswered_lines.restore(state.unanswered_since_us)
+        if self._unanswered_lines:
             self._unanswered_check = self._loop.call_later(
                 UNANSWERED_CHECK_INTERVAL_US, self._check_unanswered
             )
@@ -192,7 +187,7 @@
         return RelayState(
             client=self._client.export_state(),
             server=self._server.export_state(),
-            unanswered_since_us=list(self._unanswered_since_us),
+            unanswered_since_us=self._unanswered_lines.export_state(),
         )
 
     def file_descriptors(self) -> tuple[int, int]:
@@ -253,8 +248,7 @@
             self._complete_migration()
 
     def _note_client_lines(self, count: int) -> None:
-        space = MAX_UNANSWERED_LINES - len(self._unanswered_since_us)  # the oldest are kept
-        self._unanswered_since_us.extend([self._loop.now_us] * min(count, space))
+        self._unanswered_lines.add_lines(count, self._loop.now_us)
         if self._unanswered_check is None:
             self._unanswered_check = self._loop.call_later(
                 UNANSWERED_CHECK_INTERVAL_US, self._check_unanswered
@@ -269,26 +263,18 @@
         if final_line is not None:
             self._final_line = final_line
             self._schedule_close(FINAL_LINE_GRACE_US)
-        elif self._unanswered_since_us:
-            now_us = self._loop.now_us
-            delay_us = now_us - self._unanswered_since_us.popleft()
+        elif self._unanswered_lines:
+            delay_us = self._unanswered_lines.take_answered(self._loop.now_us)
             self._observer.on_message_answered(self._request_id, delay_us)
-            # A hung server may never answer lines that it has read. If these were kept, each later
-            # answer would be matched with an earlier line and seem late.
-            while (
-                self._unanswered_since_us
-                and now_us - self._unanswered_since_us[0] >= UNRESPONSIVE_US
-            ):
-                self._unanswered_since_us.popleft()
 
     # Unanswered lines
 
     def _check_unanswered(self) -> None:
         """Report unanswered lines, as a hung server does not close its connections."""
         self._unanswered_check = None
-        if self._has_ended or not self._unanswered_since_us:
+        if self._has_ended or not self._unanswered_lines:
             return
-        age_us = self._loop.now_us - self._unanswered_since_us[0]
+        age_us = self._unanswered_lines.oldest_age_us(self._loop.now_us)
         if age_us >= MAX_UNANSWERED_US:
             self._abort(AttemptResult.TIMEOUT)
             return
@@ -394,5 +380,5 @@
         self._phase = _Phase.MIGRATED if is_migrating else _Phase.ENDED
         self._loop.cancel(self._unanswered_check)
         self._loop.cancel(self._idle_timeout)
-        self._unanswered_since_us.clear()
+        self._unanswered_lines.clear()
         self._observer.on_connection_ended(self._request_id, ending.result, ending.report)
