A connection that its server ends during a migration is not told MOVE after BYE

What callers saw: if the line for whose end a migration waits was followed by the server's BYE, the client got BYE and then MOVE, and the result and load report of the server were dropped.

Cause: the relay completed the migration at the end of a line without looking whether that line was the server's last.

Change: with a final line the connection ends as the server said, without MOVE.

Measured: the new test failed before and passes; tests/net/races and test_established_connections pass.

--- a/larchhaven/net/text_protocol/connection_relay.py
+++ b/larchhaven/net/text_protocol/connection_relay.py
@@ -305,10 +305,10 @@
             self._complete_migration()
 
     def _complete_migration(self) -> None:
-        if self._phase is not _Phase.MIGRATING:
+        if self._phase is not _MIGRATING:
             return
-        self._send_move()
-        self._report_ended(codec.Ending(AttemptResult.CANCELLED))
+        if self._final_line is None:
+            self._send_move()
         self._close_both_sides()
 
     def _send_move(self) -> None:
--- a/tests/net/races/test_connection_ends.py
+++ b/tests/net/races/test_connection_ends.py
@@ -95,6 +95,18 @@
     assert harness.dispatcher.requests.count_requests() == 0
 
 
+def test_final_line_that_ends_a_migration_is_not_followed_by_move(
+    harness: InProcessProxy,
+) -> None:
+    """Guards against clients that are told to reconnect although they were served to the end."""
+    sock, server = establish(harness, b"half ")
+    harness.dispatcher.connections.migrate_all_connections()
+    server.send(b"line\r\nBYE x0=0.5\r\n")
+    harness.run()
+    assert read(sock) == b"line\r\nBYE x0=0.5\r\n."
+    assert harness.dispatcher.requests.count_requests() == 0
+
+
 @pytest.mark.parametrize("line_end", [b"a line\r\n", b""])
 def test_second_stop_signal_waits_for_the_end_of_a_line_within_a_limit(
     harness: InProcessProxy, line_end: bytes
