MOVE waits for space in the client's output buffer instead of being dropped

What callers would see: a client that reads slowly is cut off without MOVE when its server drains.

Cause: a migration between two lines sent MOVE only if it fitted into the output buffer, or if the pool had one, and closed both sides all the same.

Change: the relay keeps what is left of MOVE, forwards no further line, and completes the migration when the buffer is empty or the pool has one again, within the limit that holds for a line in progress.

--- a/larchhaven/net/text_protocol/connection_relay.py
+++ b/larchhaven/net/text_protocol/connection_relay.py
@@ -132,6 +132,7 @@
         "_server",
         "_unanswered_check",
         "_unanswered_lines",
+        "_unsent_move",
     )
 
     def __init__(
@@ -155,6 +156,7 @@
         self._close_timeout: TimerHandle | None = None
         self._final_line: codec.Ending | None = None
         self._phase = _RELAYING
+        self._unsent_move = codec.MOVE
         self._last_data_us = loop.now_us
         self._idle_timeout = loop.call_later(IDLE_TIMEOUT_US, self._on_idle_timeout)
         client.on_shed = self._shed_client
@@ -206,6 +208,8 @@
 
     def forward(self, side: _Side) -> None:
         """Forward the data received from one side, as far as the other accepts it now."""
+        if self._phase is _MIGRATING and side is self._server:
+            self._complete_migration()
         inbox = side.stream.inbox
         if inbox is not None and (self._phase is _RELAYING or self._may_forward(side)):
             data = bytes(inbox.readable())
@@ -231,6 +235,8 @@
         return data[: self._server.line_counter.find_last_line_end(data) or len(data)]
 
     def _may_forward(self, side: _Side) -> bool:
+        if self._phase is _MIGRATING and side is self._server:
+            return side.line_counter.is_mid_line  # between two lines, MOVE comes next
         return side is self._client or self._phase is not _Phase.MIGRATED
 
     def _note_lines(self, side: _Side, lines: list[bytes]) -> None:
@@ -244,7 +250,7 @@
             return
         for line in lines:
             self._note_server_line(line)
-        if self._phase is not _RELAYING and not side.line_counter.is_mid_line:
+        if self._phase is _MIGRATING:
             self._complete_migration()
 
     def _note_client_lines(self, count: int) -> None:
@@ -298,24 +304,23 @@
         """Ask the client to reconnect once the line in progress is complete; end both sides."""
         if self._phase is not _RELAYING or self._final_line is not None:
             return
-        self._phase = _Phase.MIGRATING
-        if self._server.line_counter.is_mid_line:
+        self._phase = _MIGRATING
+        self._complete_migration()
+        if self._phase is _MIGRATING:
             self._schedule_close(MIGRATION_GRACE_US)
-        else:
-            self._complete_migration()
 
     def _complete_migration(self) -> None:
-        if self._phase is not _MIGRATING:
+        """End both sides if a migration waits and MOVE, or a final line, could be sent."""
+        if self._phase is not _MIGRATING or self._server.line_counter.is_mid_line:
             return
-        if self._final_line is None:
-            self._send_move()
-        self._close_both_sides()
+        if self._final_line is not None or self._send_move():
+            self._close_both_sides()
 
-    def _send_move(self) -> None:
-        """Send MOVE, but only completely and between two lines."""
-        is_mid_line = self._server.line_counter.is_mid_line
-        if not is_mid_line and self._client.stream.can_buffer(len(codec.MOVE)):
-            self._client.stream.write(codec.MOVE)
+    def _send_move(self) -> bool:
+        """Send what is left of MOVE; return whether all of it is sent or buffered."""
+        accepted = self._client.stream.write(self._unsent_move)
+        self._unsent_move = self._unsent_move[accepted:]
+        return not self._unsent_move
 
     # Closing
 
@@ -351,9 +356,12 @@
     def _abort(self, result: AttemptResult) -> None:
         """Reset the server's side, and ask the client to reconnect if it is still connected."""
         self._server.stream.close(reset=True)
-        if not self._client.stream.is_closed:
-            self._send_move()
-            self._client.stream.start_lingering_close()
+        client = self._client.stream
+        if not client.is_closed:
+            is_mid_line = self._server.line_counter.is_mid_line
+            if not is_mid_line and client.can_buffer(len(self._unsent_move)):
+                self._send_move()
+            client.start_lingering_close()
         self._report_ended(codec.Ending(result))
 
     def _schedule_close(self, delay_us: int) -> None:
--- a/tests/net/races/test_connection_ends.py
+++ b/tests/net/races/test_connection_ends.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from larchhaven.memory.item_costs import BUFFER_BYTES
 from larchhaven.net.graceful_shutdown import POLL_INTERVAL_US, GracefulShutdown
 from tests.in_process_proxy import REQUEST_LINE, InProcessProxy
 from tests.net.races.sockets import (
@@ -107,6 +108,37 @@
     assert harness.dispatcher.requests.count_requests() == 0
 
 
+def accept_nothing(sock: socket.socket, data: bytes) -> int:
+    """Replace ``send`` of sockets whose kernel buffers are full."""
+    raise BlockingIOError
+
+
+@pytest.mark.parametrize("has_buffer", [True, False])
+@pytest.mark.parametrize("free_bytes", [0, 2, 4, 6])
+def test_migration_of_a_client_that_reads_slowly_ends_with_move(
+    harness: InProcessProxy, monkeypatch: pytest.MonkeyPatch, free_bytes: int, has_buffer: bool
+) -> None:
+    """Guards against clients cut off without MOVE because it did not fit into a full buffer."""
+    sock, server = establish(harness)
+    lines = b"\r\n" * ((BUFFER_BYTES - free_bytes) // 2) if has_buffer else b""
+    held = []
+    with monkeypatch.context() as patch:
+        patch.setattr(socket.socket, "send", accept_nothing)
+        for start in range(0, len(lines), 2_000):
+            server.sendall(lines[start : start + 2_000])
+            harness.run(2)
+        while not has_buffer and (buffer := harness.pool.acquire()) is not None:
+            held.append(buffer)
+        harness.dispatcher.connections.migrate_all_connections()
+        server.sendall(b"a later line\r\n")
+        harness.run(4, 50_000)
+    for buffer in held:
+        harness.pool.release(buffer)
+    harness.run()
+    assert read(sock) == lines + b"MOVE\r\n."
+    assert harness.dispatcher.requests.count_requests() == 0
+
+
 @pytest.mark.parametrize("line_end", [b"a line\r\n", b""])
 def test_second_stop_signal_waits_for_the_end_of_a_line_within_a_limit(
     harness: InProcessProxy, line_end: bytes
