--- a/larchhaven/net/text_protocol/connection_relay.py
+++ b/larchhaven/net/text_protocol/connection_relay.py
@@ -9,8 +9,8 @@
 from larchhaven.net.core.lingering_close import LINGER_US
 from larchhaven.net.core.stream import Stream
 from larchhaven.net.text_protocol import codec
-from larchhaven.net.text_protocol.line_counter import LineCounter
-from larchhaven.net.text_protocol.relay_state import RelayState, SideState
+from larchhaven.net.text_protocol.relay_side import RelaySide
+from larchhaven.net.text_protocol.relay_state import RelayState
 from larchhaven.net.text_protocol.unanswered_lines import UNRESPONSIVE_US, UnansweredLines
 from larchhaven.routing.events import AttemptResult
 
@@ -43,69 +43,6 @@
 _MIGRATING = _Phase.MIGRATING
 
 
-class _Side:
-    """One side of a relay, which handles the events of its stream.
-
-    Attributes:
-        relay: The relay.
-        other: The opposite side.
-        stream: The stream to the client or the server.
-        line_counter: Tracks the lines forwarded from this side.
-    """
-
-    __slots__ = ("line_counter", "other", "relay", "stream")
-
-    other: _Side
-
-    def __init__(self, relay: ConnectionRelay, stream: Stream) -> None:
-        self.relay = relay
-        self.stream = stream
-        self.line_counter = LineCounter()
-        stream.protocol = self
-
-    def release(self) -> None:
-        """Break the reference cycle between the relay and its sides."""
-        del self.relay, self.other
-
-    def export_state(self) -> SideState:
-        """Return the state that another process needs to continue this side."""
-        inbox = self.stream.inbox
-        return SideState(
-            inbox=bytes(inbox.readable()) if inbox is not None else b"",
-            outbox=self.stream.pending_data(),
-            line_head=bytes(self.line_counter.head),
-            ends_with_cr=self.line_counter.ends_with_cr,
-            is_mid_line=self.line_counter.is_mid_line,
-        )
-
-    def restore(self, state: SideState) -> None:
-        """Continue from the state of another process."""
-        self.stream.write(state.outbox)
-        self.stream.prefill(state.inbox)
-        self.line_counter.head[:] = state.line_head
-        self.line_counter.ends_with_cr = state.ends_with_cr
-        self.line_counter.is_mid_line = state.is_mid_line
-
-    def connection_made(self) -> None:
-        """Do nothing: the connection is already established."""
-
-    def data_received(self) -> None:
-        """Forward the received data."""
-        self.relay.forward(self)
-
-    def write_buffer_drained(self) -> None:
-        """Forward the data that the other side held back."""
-        self.relay.forward(self.other)
-
-    def eof_received(self) -> None:
-        """Forward the end of the stream."""
-        self.relay.on_side_ended(self)
-
-    def connection_lost(self, code: int) -> None:
-        """Forward the loss of the connection."""
-        self.relay.on_side_lost(self)
-
-
 class ConnectionRelay:
     """An established connection between a client and its server.
 
@@ -147,8 +84,8 @@
         self._loop = loop
         self._observer = observer
         self._request_id = request_id
-        self._client = _Side(self, client)
-        self._server = _Side(self, server)
+        self._client = RelaySide(self, client)
+        self._server = RelaySide(self, server)
         self._client.other = self._server
         self._server.other = self._client
         self._unanswered_lines = UnansweredLines()
@@ -206,7 +143,7 @@
 
     # Forwarding
 
-    def forward(self, side: _Side) -> None:
+    def forward(self, side: RelaySide) -> None:
         """Forward the data received from one side, as far as the other accepts it now."""
         if self._phase is _MIGRATING and side is self._server:
             self._complete_migration()
@@ -234,12 +171,12 @@
         """Cut the server's data after its last complete line, so that MOVE can follow."""
         return data[: self._server.line_counter.find_last_line_end(data) or len(data)]
 
-    def _may_forward(self, side: _Side) -> bool:
+    def _may_forward(self, side: RelaySide) -> bool:
         if self._phase is _MIGRATING and side is self._server:
             return side.line_counter.is_mid_line  # between two lines, MOVE comes next
         return side is self._client or self._phase is not _Phase.MIGRATED
 
-    def _note_lines(self, side: _Side, lines: list[bytes]) -> None:
+    def _note_lines(self, side: RelaySide, lines: list[bytes]) -> None:
         """Handle completely forwarded lines, given the first bytes of each."""
         if self._phase is not _RELAYING and self._has_ended:
             return
@@ -328,7 +265,7 @@
     def _has_ended(self) -> bool:
         return self._phase is _Phase.ENDED or self._phase is _Phase.MIGRATED
 
-    def on_side_ended(self, side: _Side) -> None:
+    def on_side_ended(self, side: RelaySide) -> None:
         """Forward the end of one side after the data that it sent before."""
         if side is self._server:
             self._report_ended(self._final_line or codec.Ending(AttemptResult.RESET))
@@ -337,7 +274,7 @@
         self._schedule_close(LINGER_US)
         self.forward(side)
 
-    def on_side_lost(self, side: _Side) -> None:
+    def on_side_lost(self, side: RelaySide) -> None:
         """Reset the other side, or close both sides if the server has sent its final line."""
         if side is self._server and self._final_line is not None:
             self._close_both_sides()
