A migration waits for a line that comes slowly, and gives up only when nothing comes

By the protocol a connection is lost "if it is cut off without MOVE while its exam server still answers".

Cause: the wait for the end of the line had a fixed limit of 0.5 s, whatever came meanwhile.

Evidence: a line whose pieces come 0.2, 0.7 and 1.5 s apart was cut in all three new cases.

Change: the wait ends when neither side has sent anything for 5.5 s, as for an unanswered line (the protocol allows 7 s), and in a shutdown when all connections have to be migrated, before the kill.

A test is replaced: it wanted a connection whose server is silent in the middle of a line to be cut off within 1 s, which the sentence above forbids while the server may still answer. In its place one wants MOVE after a line of up to 9 s, one the end of a silent connection within 7 s of the last byte, and one an end before the kill in a shutdown (it fails without the new deadline).

--- a/larchhaven/net/control/established_connections.py
+++ b/larchhaven/net/control/established_connections.py
@@ -122,6 +122,12 @@
             if request.connection is not None:
                 request.connection.migrate()
 
+    def end_migrations(self) -> None:
+        """End every connection whose migration still waits for the end of a line."""
+        for request in self._requests.list_established():
+            if request.connection is not None:
+                request.connection.end_migration()
+
     # Hot restart
 
     def list_connections(self) -> list[Request]:
--- a/larchhaven/net/control/interfaces.py
+++ b/larchhaven/net/control/interfaces.py
@@ -66,6 +66,9 @@
     def migrate(self) -> None:
         """Ask the client to reconnect, and end both sides of the connection."""
 
+    def end_migration(self) -> None:
+        """End both sides of a connection whose migration still waits for the end of a line."""
+
 
 class ClientConnection(Protocol):
     """A client that waits for its answer.
--- a/larchhaven/net/graceful_shutdown.py
+++ b/larchhaven/net/graceful_shutdown.py
@@ -95,6 +95,9 @@
     def migrate_all_connections(self) -> None:
         """Ask every client to reconnect."""
 
+    def end_migrations(self) -> None:
+        """End every connection whose migration still waits for the end of a line."""
+
 
 class ClosableListener(Protocol):
     """The listener that accepts clients."""
@@ -169,6 +172,8 @@
         self._requests.set_answer_deadline(loop.now_us + deadlines.answers_us)
         if self._shares_socket:
             self._listener.stop()  # new clients wait in the accept queue for the successor
+        migrated_us = migration_delay_us + deadlines.migrations_us
+        loop.call_later(migrated_us, self._connections.end_migrations)
         if deadlines.end_us is not None:
             loop.call_later(deadlines.end_us, loop.stop)
         if migration_delay_us:
--- a/larchhaven/net/text_protocol/connection_relay.py
+++ b/larchhaven/net/text_protocol/connection_relay.py
@@ -11,22 +11,17 @@
 from larchhaven.net.text_protocol import codec
 from larchhaven.net.text_protocol.relay_side import RelaySide
 from larchhaven.net.text_protocol.relay_state import RelayState
-from larchhaven.net.text_protocol.unanswered_lines import UNRESPONSIVE_US, UnansweredLines
+from larchhaven.net.text_protocol.response_monitor import MAX_UNANSWERED_US, ResponseMonitor
 from larchhaven.routing.events import AttemptResult
 
-# Interval between checks for unanswered lines, whose age is reported as a delay.
-UNANSWERED_CHECK_INTERVAL_US = 1_000_000
-# If a line is unanswered for this long, the connection is aborted. This must happen within 7 s, and
-# checks are 1 s apart.
-MAX_UNANSWERED_US = 5_500_000
 # A connection without data for this long is aborted: a client whose machine has failed never closes
 # its connection. Live clients send every few seconds.
 IDLE_TIMEOUT_US = 600_000_000
 # Time that a server has to close the connection after its final line.
 FINAL_LINE_GRACE_US = 300_000
-# Time that a migration waits for the end of the line in progress. After that, the connection is
-# closed without a MOVE.
-MIGRATION_GRACE_US = 500_000
+# A migration that cannot send MOVE waits for this long while neither side sends any data. A
+# connection on which a server returns nothing has to end within 7 s.
+MAX_SILENT_MIGRATION_US = MAX_UNANSWERED_US
 
 
 class _Phase(Enum):
@@ -63,12 +58,12 @@
         "_idle_timeout",
         "_last_data_us",
         "_loop",
+        "_migration_check",
         "_observer",
         "_phase",
         "_request_id",
+        "_response_monitor",
         "_server",
-        "_unanswered_check",
-        "_unanswered_lines",
         "_unsent_move",
     )
 
@@ -88,9 +83,9 @@
         self._server = RelaySide(self, server)
         self._client.other = self._server
         self._server.other = self._client
-        self._unanswered_lines = UnansweredLines()
-        self._unanswered_check: TimerHandle | None = None
+        self._response_monitor = ResponseMonitor(loop, observer, request_id, self._on_hung_server)
         self._close_timeout: TimerHandle | None = None
+        self._migration_check: TimerHandle | None = None
         self._final_line: codec.Ending | None = None
         self._phase = _RELAYING
         self._unsent_move = codec.MOVE
@@ -113,11 +108,7 @@
     def _restore(self, state: RelayState) -> None:
         self._client.restore(state.client)
         self._server.restore(state.server)
-        self._unanswered_lines.restore(state.unanswered_since_us)
-        if self._unanswered_lines:
-            self._unanswered_check = self._loop.call_later(
-                UNANSWERED_CHECK_INTERVAL_US, self._check_unanswered
-            )
+        self._response_monitor.restore(state.unanswered_since_us)
 
     def export_state(self) -> RelayState | None:
         """Return the state for another process; None if the connection is about to end."""
@@ -126,7 +117,7 @@
         return RelayState(
             client=self._client.export_state(),
             server=self._server.export_state(),
-            unanswered_since_us=self._unanswered_lines.export_state(),
+            unanswered_since_us=self._response_monitor.export_state(),
         )
 
     def file_descriptors(self) -> tuple[int, int]:
@@ -136,7 +127,8 @@
     def detach_sockets(self) -> None:
         """Close this process's descriptors after another process took over the connection."""
         self._phase = _Phase.ENDED
-        for timer in (self._unanswered_check, self._idle_timeout, self._close_timeout):
+        self._response_monitor.stop()
+        for timer in (self._idle_timeout, self._close_timeout):
             self._loop.cancel(timer)
         self._client.stream.close()
         self._server.stream.close()
@@ -151,7 +143,7 @@
         if inbox is not None and (self._phase is _RELAYING or self._may_forward(side)):
             data = bytes(inbox.readable())
             if self._phase is _MIGRATING and side is self._server:
-                data = self._until_last_line_end(data)
+                data = side.line_counter.cut_after_last_line(data)  # MOVE follows it
             accepted = side.other.stream.write(data)
             if accepted < len(data):
                 side.stream.pause_reading()  # until the other side has accepted the rest
@@ -167,10 +159,6 @@
             else:
                 self._server.stream.write_eof()
 
-    def _until_last_line_end(self, data: bytes) -> bytes:
-        """Cut the server's data after its last complete line, so that MOVE can follow."""
-        return data[: self._server.line_counter.find_last_line_end(data) or len(data)]
-
     def _may_forward(self, side: RelaySide) -> bool:
         if self._phase is _MIGRATING and side is self._server:
             return side.line_counter.is_mid_line  # between two lines, MOVE comes next
@@ -183,20 +171,13 @@
         self._last_data_us = self._loop.now_us
         if side is self._client:
             if lines:
-                self._note_client_lines(len(lines))
+                self._response_monitor.add_lines(len(lines))
             return
         for line in lines:
             self._note_server_line(line)
         if self._phase is _MIGRATING:
             self._complete_migration()
 
-    def _note_client_lines(self, count: int) -> None:
-        self._unanswered_lines.add_lines(count, self._loop.now_us)
-        if self._unanswered_check is None:
-            self._unanswered_check = self._loop.call_later(
-                UNANSWERED_CHECK_INTERVAL_US, self._check_unanswered
-            )
-
     def _note_server_line(self, line: bytes) -> None:
         load = codec.parse_load(line)
         if load is not None:
@@ -206,27 +187,13 @@
         if final_line is not None:
             self._final_line = final_line
             self._schedule_close(FINAL_LINE_GRACE_US)
-        elif self._unanswered_lines:
-            delay_us = self._unanswered_lines.take_answered(self._loop.now_us)
-            self._observer.on_message_answered(self._request_id, delay_us)
+        else:
+            self._response_monitor.note_answer()
 
-    # Unanswered lines
+    # Timeouts
 
-    def _check_unanswered(self) -> None:
-        """Report unanswered lines, as a hung server does not close its connections."""
-        self._unanswered_check = None
-        if self._has_ended or not self._unanswered_lines:
-            return
-        age_us = self._unanswered_lines.oldest_age_us(self._loop.now_us)
-        if age_us >= MAX_UNANSWERED_US:
-            self._abort(AttemptResult.TIMEOUT)
-            return
-        if age_us >= UNRESPONSIVE_US:
-            self._observer.on_server_unresponsive(self._request_id, age_us)
-        elif age_us >= UNANSWERED_CHECK_INTERVAL_US:
-            self._observer.on_message_waiting(self._request_id, age_us)
-        delay_us = max(UNANSWERED_CHECK_INTERVAL_US - age_us, UNANSWERED_CHECK_INTERVAL_US // 2)
-        self._unanswered_check = self._loop.call_later(delay_us, self._check_unanswered)
+    def _on_hung_server(self) -> None:
+        self._abort(AttemptResult.TIMEOUT)
 
     def _on_idle_timeout(self) -> None:
         remaining_us = self._last_data_us + IDLE_TIMEOUT_US - self._loop.now_us
@@ -244,7 +211,23 @@
         self._phase = _MIGRATING
         self._complete_migration()
         if self._phase is _MIGRATING:
-            self._schedule_close(MIGRATION_GRACE_US)
+            self._last_data_us = self._loop.now_us
+            self._check_migration()
+
+    def end_migration(self) -> None:
+        """End both sides of a connection whose migration waits, although MOVE cannot be sent."""
+        if self._phase is _MIGRATING:
+            self._close_both_sides()
+
+    def _check_migration(self) -> None:
+        """End a migration that waits for a server or a client that hangs."""
+        silent_us = self._loop.now_us - self._last_data_us
+        if silent_us >= MAX_SILENT_MIGRATION_US:
+            self.end_migration()
+            return
+        self._migration_check = self._loop.call_later(
+            MAX_SILENT_MIGRATION_US - silent_us, self._check_migration
+        )
 
     def _complete_migration(self) -> None:
         """End both sides if a migration waits and MOVE, or a final line, could be sent."""
@@ -323,7 +306,7 @@
             return
         is_migrating = self._phase is _Phase.MIGRATING
         self._phase = _Phase.MIGRATED if is_migrating else _Phase.ENDED
-        self._loop.cancel(self._unanswered_check)
+        self._response_monitor.stop()
         self._loop.cancel(self._idle_timeout)
-        self._unanswered_lines.clear()
+        self._loop.cancel(self._migration_check)
         self._observer.on_connection_ended(self._request_id, ending.result, ending.report)
--- a/larchhaven/net/text_protocol/line_counter.py
+++ b/larchhaven/net/text_protocol/line_counter.py
@@ -47,12 +47,12 @@
             self.ends_with_cr = self.is_mid_line and data.endswith(b"\r")
         return completed
 
-    def find_last_line_end(self, data: bytes) -> int:
-        """Return the length of the longest prefix of the next bytes that ends a line, or 0."""
+    def cut_after_last_line(self, data: bytes) -> bytes:
+        """Return the next bytes up to the last line end in them, or all if no line ends."""
         end = data.rfind(LINE_END)
         if end >= 0:
-            return end + len(LINE_END)
-        return 1 if self.ends_with_cr and data.startswith(b"\n") else 0
+            return data[: end + len(LINE_END)]
+        return data[:1] if self.ends_with_cr and data.startswith(b"\n") else data
 
     def _extend_head(self, data: bytes) -> None:
         self.head += data[: max(MAX_HEAD_BYTES - len(self.head), 0)]
--- a/tests/net/control/test_dispatcher.py
+++ b/tests/net/control/test_dispatcher.py
@@ -67,6 +67,9 @@
     def migrate(self) -> None:
         self.answers.append("migrated")
 
+    def end_migration(self) -> None:
+        self.answers.append("ended")
+
 
 @pytest.fixture
 def fake_transport() -> FakeTransport:
--- a/tests/net/races/test_connection_ends.py
+++ b/tests/net/races/test_connection_ends.py
@@ -58,17 +58,34 @@
     assert harness.dispatcher.requests.count_requests() == 0
 
 
-@pytest.mark.parametrize("line_end", [b"a line\r\n", b"a line\r", b""])
-def test_migration_waits_for_the_end_of_a_line_within_a_limit(
-    harness: InProcessProxy, line_end: bytes
+@pytest.mark.parametrize("interval_us", [200_000, 700_000, 1_500_000])
+def test_migration_waits_for_the_end_of_a_line_however_slowly_it_comes(
+    harness: InProcessProxy, interval_us: int
+) -> None:
+    """Guards against clients cut off without MOVE while their server still sends a line."""
+    sock, server = establish(harness, b"half ")
+    harness.dispatcher.connections.migrate_all_connections()
+    pieces = [b"of", b" a", b" li", b"ne", b"\r", b"\n"]
+    for piece in pieces:
+        harness.run(2, interval_us // 2)
+        server.send(piece)
+    harness.run(2)
+    assert read(sock) == b"".join(pieces) + b"MOVE\r\n."
+    assert harness.dispatcher.requests.count_requests() == 0
+
+
+@pytest.mark.parametrize("rest", [b"a line\r", b""])
+def test_migration_from_a_server_that_hangs_in_a_line_ends_within_its_limit(
+    harness: InProcessProxy, rest: bytes
 ) -> None:
+    """A connection on which a server returns nothing has to end within 7 s."""
     sock, server = establish(harness, b"half ")
     harness.dispatcher.connections.migrate_all_connections()
     harness.run(2, 200_000)
     assert read(sock) == b""
-    server.send(line_end)
-    harness.run(3, 200_000)
-    assert read(sock) == line_end + (b"MOVE\r\n." if line_end.endswith(b"\n") else b".")
+    server.send(rest)
+    harness.run(7, 1_000_000)
+    assert read(sock) == rest + b"."
     assert harness.dispatcher.requests.count_requests() == 0
 
 
--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_graceful_shutdown.py
@@ -8,10 +8,12 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 import pytest
 
+from larchhaven.net.graceful_shutdown import KILL_GRACE_US, MAX_AWAITED_DEADLINE_US
 from tests.proxy_harness import ROOT, TIMEOUT_S, LineConnection, ProxyProcess, make_request_line
 
 REQUEST_FIELDS = "c=chat,d=2000,g=ab"
@@ -111,6 +113,23 @@
     assert proxy.process.wait(TIMEOUT_S) == 0
 
 
+@pytest.mark.parametrize("proxy", [ENDS_AT_PROXY], indirect=True)
+def test_server_that_hangs_in_a_line_does_not_hold_up_the_shutdown(proxy: ProxyProcess) -> None:
+    """Guards against a process that still holds connections when the platform kills it."""
+    client, server = proxy.establish()
+    server.sock.sendall(b"half ")
+    assert client.file.read(5) == b"half "
+    start_shutdown(proxy)
+    started_s = time.monotonic()
+    deadline_us = max(each["deadline"] for each in proxy.configuration["settings"]["services"])
+    kill_us = min(deadline_us, MAX_AWAITED_DEADLINE_US) + KILL_GRACE_US
+    assert client.file.read() == b""
+    assert time.monotonic() - started_s < kill_us / 1e6
+    client.close()
+    server.close()
+    assert proxy.process.wait(TIMEOUT_S) == 0
+
+
 def test_signal_that_arrives_after_the_socket_listens_is_handled_gracefully(
     proxy: ProxyProcess, tmp_path: Path
 ) -> None:
