The endpoint list is asked for within 5.5 s after an outage of discovery, not 10 s

Cause: where discovery is asked, the wait after a failed call grew to the time after which a proxy without any watch counts as notified (10 s). After a failed call a change counts as notified 6 s after discovery can be reached again; a wait of up to 10 s breaks that, however soon the answer comes.

Change: the longest wait is 5.5 s, 2 s in small fleets. The first wait after a failure, which all proxies see at once, is drawn from its whole length, and later ones vary by a tenth only, so that sooner calls do not crowd discovery. Why this works: the longest wait and half a second for the call stay within 6 s, and the fleet's calls are spread over all of it.

--- a/larchhaven/routing/endpoint_list.py
+++ b/larchhaven/routing/endpoint_list.py
@@ -24,15 +24,28 @@
 from larchhaven.routing.settings import RoutingSettings
 from larchhaven.routing.slow_start import SlowStart
 
-# Bounds of the jitter window, as fractions of the maximum backoff. The first poll is sent within
-# this window.
+# Bounds of the jitter window, as fractions of the time within which the list has to be polled. The
+# first poll and the first retry are sent within this window.
 MIN_JITTER_FRACTION = 0.1
 MAX_JITTER_FRACTION = 0.5
 POLL_INTERVAL_PER_PROXY_US = 125_000  # discovery may time out on all polls if they are closer
-MIN_RETRY_DELAY_FRACTION = 1 / 3  # shortest retry delay, as a fraction of the backoff
+RETRY_INTERVAL_PER_PROXY_US = 150_000  # leaves discovery time for other polls
+# A proxy counts as notified of a change 6 s after discovery can be reached again. This leaves 0.5 s
+# for the poll.
+MAX_RETRY_DELAY_US = 5_500_000
+MIN_MAX_RETRY_DELAY_US = 2_000_000  # in a small fleet, more than one retry fits into these 6 s
+# Shortest delay of a later retry, as a fraction of the backoff. The first retry has spread the
+# proxies; much more jitter would send more retries at once than discovery can answer.
+MIN_RETRY_DELAY_FRACTION = 0.9
 MIN_WEIGHT = 1e-3  # weights are divisors
 
 
+def _max_retry_delay_us(proxy_count: int) -> int:
+    """Return the longest retry delay for which retries come no faster than discovery answers."""
+    fleet_us = RETRY_INTERVAL_PER_PROXY_US * proxy_count
+    return sorted((MIN_MAX_RETRY_DELAY_US, MAX_RETRY_DELAY_US, fleet_us))[1]
+
+
 class PollBackoff:
     """Schedules the opening of the watch: at the start, and with backoff after a failure."""
 
@@ -42,11 +55,13 @@
         # If lists are pushed, a proxy is assumed to know each one at once, so that retries have to
         # come within the drain grace.
         if settings.subscribes_to_endpoints:
-            self._max_backoff_us = settings.poll_deadline_us
+            poll_within_us = settings.poll_deadline_us
+            self._max_backoff_us = min(poll_within_us, _max_retry_delay_us(settings.proxy_count))
         else:
-            self._max_backoff_us = settings.drain_grace_us // 2
-        min_us = int(MIN_JITTER_FRACTION * self._max_backoff_us)
-        max_us = int(MAX_JITTER_FRACTION * self._max_backoff_us)
+            poll_within_us = settings.drain_grace_us // 2
+            self._max_backoff_us = poll_within_us
+        min_us = int(MIN_JITTER_FRACTION * poll_within_us)
+        max_us = int(MAX_JITTER_FRACTION * poll_within_us)
         spread_us = POLL_INTERVAL_PER_PROXY_US * settings.proxy_count
         self._jitter_window_us = sorted((min_us, max_us, spread_us))[1]
         self._backoff_us = 0
@@ -57,10 +72,15 @@
         self._scheduler.start_timer(delay_us, self._open_watch)
 
     def retry_later(self) -> None:
-        """Reopen the watch after a jittered backoff, which doubles with each failure."""
+        """Reopen the watch after a jittered backoff, which doubles with each failure.
+
+        All watches fail at once when discovery does, so the first retry may come at any time within
+        the backoff.
+        """
+        min_fraction = MIN_RETRY_DELAY_FRACTION if self._backoff_us else 0.0
         self._backoff_us = max(2 * self._backoff_us, self._jitter_window_us)
         self._backoff_us = min(self._backoff_us, self._max_backoff_us)
-        delay_us = self._backoff_us * self._rng.uniform(MIN_RETRY_DELAY_FRACTION, 1)
+        delay_us = self._backoff_us * self._rng.uniform(min_fraction, 1)
         self._scheduler.start_timer(delay_us, self._open_watch)
 
     def reset(self) -> None:
--- a/tests/routing/test_endpoint_list.py
+++ b/tests/routing/test_endpoint_list.py
@@ -12,6 +12,7 @@
     StartTimer,
     WatchEndpoints,
 )
+from larchhaven.routing.balancer import Balancer
 from larchhaven.routing.events import (
     AdministrativeEjection,
     AttemptResult,
@@ -135,6 +136,27 @@
         ] == [True]
 
 
+@pytest.mark.parametrize("proxy_count", [1, 4, 40, 200, 1000])
+@pytest.mark.parametrize("outage_us", [500_000, 11 * SECOND_US, 120 * SECOND_US])
+def test_list_is_requested_soon_after_an_outage_of_discovery(
+    proxy_count: int, outage_us: int
+) -> None:
+    """Guards against requests to drained servers: 6 s after an outage a drain counts as known."""
+    notified_us = 6 * SECOND_US
+    call_us = SECOND_US // 2
+    for seed in range(40):
+        settings = replace(BASIC_SETTINGS, proxy_count=proxy_count, subscribes_to_endpoints=True)
+        balancer = Balancer(settings, seed)
+        now_us = START_US
+        while now_us < START_US + outage_us:
+            failed = balancer.handle(now_us, [EndpointListUpdate(EndpointListKind.FAILED)])
+            timer = actions_of(StartTimer, failed)[0]
+            now_us += timer.delay_us
+            watch = balancer.handle(now_us, [TimerFired(timer.timer_id)])
+            assert actions_of(WatchEndpoints, watch) == [WatchEndpoints()]
+        assert now_us - (START_US + outage_us) <= notified_us - call_us
+
+
 def test_failed_watch_is_opened_again_with_a_growing_backoff() -> None:
     balancer = make_balancer(1, subscribes_to_endpoints=True)
     waits = []
--- a/tests/routing/test_large_fleets.py
+++ b/tests/routing/test_large_fleets.py
@@ -5,7 +5,7 @@
 import heapq
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from zlib import crc32
 
 import pytest
@@ -45,25 +45,37 @@
 
 SERVICE_TIME_US = 133_000
 MAX_WAIT_US = 2_000_000
+# A proxy counts as notified of a change this long after discovery can be reached again.
+NOTIFIED_AFTER_US = 6_000_000
 
 
-@pytest.mark.parametrize(("count", "service_time_us"), [(40, SERVICE_TIME_US), (200, 30_000)])
-def test_proxies_that_start_together_all_get_the_endpoint_list(
-    count: int, service_time_us: int
-) -> None:
-    """If proxies poll at the same time, discovery is overloaded, and only a few get the list.
+@dataclass
+class PollResults:
+    """Which proxies discovery has answered, and how many of their polls waited too long."""
+
+    answered_at_us: dict[int, int] = field(default_factory=dict)
+    failed: int = 0
 
-    A poll that waits too long fails, but still takes up its service time.
+
+def poll_discovery(count: int, service_time_us: int, outage_us: int = 0) -> PollResults:
+    """Let proxies poll a discovery service that answers one poll at a time.
+
+    A poll that waits too long fails, but still takes up its service time. If there is an outage, it
+    begins when all proxies have an open watch, and until it ends all polls fail at once.
     """
     settings = replace(BASIC_SETTINGS, proxy_count=count, subscribes_to_endpoints=True)
     proxies = [Balancer(replace(settings, proxy_index=i), seed=i) for i in range(count)]
-    queue: list[tuple[int, int, int, Event]] = [
-        (START_US, i, i, EndpointListUpdate(EndpointListKind.CACHED)) for i in range(count)
-    ]
+    first_event = EndpointListUpdate(EndpointListKind.CACHED)
+    failure = EndpointListUpdate(EndpointListKind.FAILED)
+    if outage_us:
+        for proxy in proxies:
+            proxy.handle(START_US, [first_event])  # the timer of its first poll is over
+        first_event = failure
+    queue: list[tuple[int, int, int, Event]] = [(START_US, i, i, first_event) for i in range(count)]
+    down_until_us = START_US + outage_us
     free_at_us, order = START_US, count
-    answered: set[int] = set()
-    failed = 0
-    while queue and queue[0][0] < START_US + 20_000_000:
+    results = PollResults()
+    while queue and queue[0][0] < down_until_us + 20_000_000:
         now, _, index, event = heapq.heappop(queue)
         for action in proxies[index].handle(now, [event]):
             order += 1
@@ -71,16 +83,41 @@
                 heapq.heappush(
                     queue, (now + action.delay_us, order, index, TimerFired(action.timer_id))
                 )
+            elif isinstance(action, WatchEndpoints) and now < down_until_us:
+                heapq.heappush(queue, (now, order, index, failure))
             elif isinstance(action, WatchEndpoints):
                 free_at_us = max(free_at_us, now) + service_time_us
                 if free_at_us > now + MAX_WAIT_US:
-                    failed += 1
-                    answer = EndpointListUpdate(EndpointListKind.FAILED)
-                    heapq.heappush(queue, (now + MAX_WAIT_US, order, index, answer))
+                    results.failed += 1
+                    heapq.heappush(queue, (now + MAX_WAIT_US, order, index, failure))
                 else:
-                    answered.add(index)
-    assert len(answered) == count
-    assert failed <= count // 10
+                    results.answered_at_us[index] = free_at_us
+    return results
+
+
+@pytest.mark.parametrize(("count", "service_time_us"), [(40, SERVICE_TIME_US), (200, 30_000)])
+def test_proxies_that_start_together_all_get_the_endpoint_list(
+    count: int, service_time_us: int
+) -> None:
+    """If proxies poll at the same time, discovery is overloaded, and only a few get the list."""
+    results = poll_discovery(count, service_time_us)
+    assert len(results.answered_at_us) == count
+    assert results.failed <= count // 10
+
+
+@pytest.mark.parametrize("outage_us", [500_000, 11_000_000, 60_000_000])
+@pytest.mark.parametrize(
+    ("count", "service_time_us"), [(4, SERVICE_TIME_US), (30, SERVICE_TIME_US), (150, 30_000)]
+)
+def test_all_proxies_get_the_endpoint_list_soon_after_an_outage(
+    count: int, service_time_us: int, outage_us: int
+) -> None:
+    """Guards against retries that come too late for a drain, or faster than discovery answers."""
+    results = poll_discovery(count, service_time_us, outage_us)
+    assert len(results.answered_at_us) == count
+    last_answer_us = max(results.answered_at_us.values())
+    assert last_answer_us <= START_US + outage_us + NOTIFIED_AFTER_US
+    assert results.failed <= count // 10
 
 
 def test_first_poll_is_sent_within_the_poll_deadline() -> None:
