A connect to discovery that hangs is given up after half a second

What callers would see: requests to servers that drained during an outage, for up to 10 s after it.

Cause: a connect that begins while discovery's machine is cut off never comes up. It shared the timeout of the watch that it was to carry, 8.5 s, and two polls of 1 s followed.

Evidence: a test with a listener that accepts no more connections: no result within 10 s.

Change: the connect has a timeout of its own, 0.5 s, what the longest wait between two calls leaves of the 6 s. The request's timeout still counts from the start of the connect.

Measured: the test passes, and one that a watch which is held keeps its whole hold time; the tests of endpoint watch, endpoint updates, reload, documents and structure pass.

--- a/larchhaven/net/control/endpoint_watch.py
+++ b/larchhaven/net/control/endpoint_watch.py
@@ -31,6 +31,8 @@
 # timeout leaves time for two polls.
 SHORT_POLL_TIMEOUT_US = 1_000_000
 MAX_SHORT_POLLS = 2
+# A connect that hangs may have begun while discovery was cut off, and then never comes up.
+CONNECT_TIMEOUT_US = 500_000
 COMPLETE_LIST_TIMEOUT_US = 2_000_000
 # Minimum time between two requests. If discovery answers at once without changes, this prevents a
 # tight loop of polls. The protocol allows 200 ms.
@@ -131,10 +133,10 @@
         self._loop.cancel(self._next_request)
         self._state = _PollState.CONNECTING
         self._requested_at_us = self._loop.now_us
-        self._timeout = self._loop.call_later(self._find_timeout_us(), self._on_timeout)
         if self._stream is not None:
             self._send_request(self._stream)
             return
+        self._timeout = self._loop.call_later(CONNECT_TIMEOUT_US, self._on_timeout)
         try:
             self._stream = Stream.connect(self._loop, self._pool, self._address, self)
         except OSError as error:
@@ -152,6 +154,9 @@
         self._drop_response()
         self._response = HttpResponse(self._pool.account)
         self._state = _PollState.AWAITING_RESPONSE
+        self._loop.cancel(self._timeout)
+        expires_us = self._requested_at_us + self._find_timeout_us()
+        self._timeout = self._loop.call_later(expires_us - self._loop.now_us, self._on_timeout)
         hold_ms = 0 if self._short_polls else WATCH_HOLD_MS
         query = "" if self._needs_complete_list else f"?from={self._version}&hold_ms={hold_ms}"
         host, port = self._address
@@ -185,7 +190,8 @@
         """Follow a silent request with a short poll, or fail if no further one is allowed."""
         is_last = self._needs_complete_list or self._short_polls >= MAX_SHORT_POLLS
         if is_last or not self._is_enabled:
-            self._fail(f"no response within {self._find_timeout_us() // US_PER_MS} ms")
+            waited_us = self._loop.now_us - self._requested_at_us
+            self._fail(f"no response within {waited_us // US_PER_MS} ms")
             return
         self._disconnect()
         self._note_silence()
--- a/tests/net/control/test_endpoint_watch.py
+++ b/tests/net/control/test_endpoint_watch.py
@@ -22,16 +22,19 @@
 from larchhaven.routing.events import EndpointListKind
 
 TIMEOUT_S = 10.0
+# Retries come at most 5.5 s apart, and a change counts as notified 6 s after discovery is back.
+CONNECT_BOUND_S = 0.5
+SLACK_S = 0.5
 ANSWER = b'{"seq":8,"whole":false,"hosts":[]}'
 
 
 class FakeDiscovery:
     """Fakes discovery, which answers when the test tells it to, and holds the watch under test."""
 
-    def __init__(self) -> None:
+    def __init__(self, backlog: int = 100) -> None:
         self.loop = EventLoop()
         self.received_lists: list[EndpointListMessage | None] = []
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
         self.listener.setblocking(False)
         pool = BufferPool(MemoryAccount.unbounded())
         self.watch = EndpointWatch(
@@ -205,6 +208,35 @@
     assert discovery.receive_next_request(sock).endswith("?from=8&hold_ms=60 HTTP/1.1")
 
 
+def test_connect_that_hangs_is_given_up_early() -> None:
+    """Guards against a late list: a connect begun while discovery was cut off may never come up.
+
+    The next one must not wait for the hold time of a watch that was never opened.
+    """
+    discovery = FakeDiscovery(backlog=0)
+    only_accepted = socket.create_connection(discovery.listener.getsockname())
+    begun_s = time.monotonic()
+    discovery.watch.set_enabled(True)
+    discovery.wait_for_results(1)
+    assert discovery.received_lists == [None]
+    calls = 1 + watch_module.MAX_SHORT_POLLS
+    assert time.monotonic() - begun_s < calls * CONNECT_BOUND_S + SLACK_S
+    only_accepted.close()
+
+
+def test_connect_timeout_does_not_end_a_watch_that_discovery_holds(
+    discovery: FakeDiscovery, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(watch_module, "CONNECT_TIMEOUT_US", 50_000)
+    monkeypatch.setattr(watch_module, "WATCH_HOLD_MS", 400)
+    discovery.watch.set_enabled(True)
+    held_sock, _ = discovery.receive_request()
+    held_since_s = time.monotonic()
+    discovery.receive_request()
+    assert time.monotonic() - held_since_s > 0.35
+    held_sock.close()
+
+
 READY = '{"host":"s0","dial":"127.0.0.1:1"}'
 DRAINING = '{"host":"s0","dial":"127.0.0.1:1","health":"draining"}'
 
