The call after two silent polls leaves within a short drain grace: three polls of 0.65 s

Cause: a silent watch was followed by two polls of 1 s, then by the balancer's backoff. The same timeout held for polls after a failure, so that it could not be made shorter without shutting out a slow discovery; one that needs over 1 s was shut out already.

Change: three polls of 0.65 s after a silent watch; the poll with which a watch starts keeps 1 s; one after a failure waits 2 s and is not repeated at once. The check of the last poll counts all polls now, and that of the restart wants a third one: both are stricter.

A poll answered after 1.2 s is heard (failed before).

--- a/larchhaven/net/control/endpoint_watch.py
+++ b/larchhaven/net/control/endpoint_watch.py
@@ -27,10 +27,14 @@
 WATCH_HOLD_MS = 8_000
 # From the end of the hold time to the first short poll.
 WATCH_SILENCE_US = 500_000
-# A poll sent just before the 2 s limit can take 0.8 s, longer than a short drain grace. This
-# timeout leaves time for two polls.
-SHORT_POLL_TIMEOUT_US = 1_000_000
-MAX_SHORT_POLLS = 2
+# After a silent watch, all polls must be sent before the 2 s limit, and the last one must be over
+# before a short drain grace has passed as well.
+SHORT_POLL_TIMEOUT_US = 650_000
+MAX_SHORT_POLLS = 3
+# Timeout of the poll with which the watch starts.
+FIRST_POLL_TIMEOUT_US = 1_000_000
+# Timeout of a poll after a failure: discovery may be slow or crowded.
+RETRY_TIMEOUT_US = 2_000_000
 # A connect that hangs may have begun while discovery was cut off, and then never comes up.
 CONNECT_TIMEOUT_US = 500_000
 COMPLETE_LIST_TIMEOUT_US = 2_000_000
@@ -91,6 +95,8 @@
         self._is_out_of_sync = False
         # Number of consecutive short polls, which have no hold time: changes may have been missed.
         self._short_polls = 0
+        # Whether the watch has failed, and discovery has not been reached since.
+        self._has_failed = False
         self._silent_since_us: int | None = None
         self.notification_delay_us = 0
         self._requested_at_us = -MIN_REQUEST_INTERVAL_US
@@ -146,9 +152,13 @@
     def _find_timeout_us(self) -> int:
         if self._needs_complete_list:
             return COMPLETE_LIST_TIMEOUT_US
-        if self._short_polls:
-            return SHORT_POLL_TIMEOUT_US
-        return WATCH_HOLD_MS * US_PER_MS + WATCH_SILENCE_US
+        if not self._short_polls:
+            return WATCH_HOLD_MS * US_PER_MS + WATCH_SILENCE_US
+        if self._has_failed:
+            return RETRY_TIMEOUT_US
+        if self._silent_since_us is None:
+            return FIRST_POLL_TIMEOUT_US
+        return SHORT_POLL_TIMEOUT_US
 
     def _send_request(self, stream: Stream) -> None:
         self._drop_response()
@@ -157,6 +167,8 @@
         self._loop.cancel(self._timeout)
         expires_us = self._requested_at_us + self._find_timeout_us()
         self._timeout = self._loop.call_later(expires_us - self._loop.now_us, self._on_timeout)
+        if not self._short_polls:
+            self._has_failed = False
         hold_ms = 0 if self._short_polls else WATCH_HOLD_MS
         query = "" if self._needs_complete_list else f"?from={self._version}&hold_ms={hold_ms}"
         host, port = self._address
@@ -188,8 +200,7 @@
 
     def _on_timeout(self) -> None:
         """Follow a silent request with a short poll, or fail if no further one is allowed."""
-        is_last = self._needs_complete_list or self._short_polls >= MAX_SHORT_POLLS
-        if is_last or not self._is_enabled:
+        if self._is_last_attempt() or not self._is_enabled:
             waited_us = self._loop.now_us - self._requested_at_us
             self._fail(f"no response within {waited_us // US_PER_MS} ms")
             return
@@ -198,6 +209,11 @@
         self._short_polls += 1
         self._start_request()
 
+    def _is_last_attempt(self) -> bool:
+        """Return whether the watch fails if the current request is not answered in time."""
+        is_retry = self._has_failed and self._short_polls > 0
+        return self._needs_complete_list or is_retry or self._short_polls >= MAX_SHORT_POLLS
+
     def _note_silence(self) -> None:
         if self._silent_since_us is None:
             self._silent_since_us = self._loop.now_us
@@ -207,6 +223,7 @@
             return
         self._disconnect()
         self._note_silence()
+        self._has_failed = True
         self._is_enabled = False
         self._needs_complete_list = self._is_out_of_sync
         self._log.warning("watch failed, retrying", reason)
@@ -256,6 +273,7 @@
         self._drop_response()
         self._needs_complete_list = self._is_out_of_sync = False
         self._short_polls = 0
+        self._has_failed = False
         self._version = message.version
         self.notification_delay_us = 0
         if self._silent_since_us is not None:
--- a/tests/net/control/test_endpoint_watch.py
+++ b/tests/net/control/test_endpoint_watch.py
@@ -149,20 +149,21 @@
     assert discovery.received_lists[0].endpoints[0].health == "draining"
 
 
-def test_watch_fails_after_two_silent_short_polls_and_restarts_with_a_short_poll(
+def test_watch_fails_after_its_last_silent_short_poll_and_restarts_with_a_short_poll(
     discovery: FakeDiscovery, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """If the first short poll is silent too, a second one must follow before the watch fails.
+    """If a short poll is silent too, the next one must follow before the watch fails.
 
     After the failure, changes may have been missed, so the watch must restart with a short poll.
     """
     monkeypatch.setattr(watch_module, "SHORT_POLL_TIMEOUT_US", 60_000)
     discovery.watch.set_enabled(True)
-    requests = [discovery.receive_request() for _ in range(3)]
+    requests = [discovery.receive_request() for _ in range(4)]
     assert [request_line.split("=")[-1] for _, request_line in requests] == [
         "60 HTTP/1.1",
         "0 HTTP/1.1",
         "0 HTTP/1.1",
+        "0 HTTP/1.1",
     ]
     assert discovery.received_lists == []
     discovery.wait_for_results(1)
@@ -173,7 +174,8 @@
 
 def test_last_poll_is_sent_before_missed_changes_count_as_notified() -> None:
     """Missed changes count as notified two seconds after the end of the hold time."""
-    assert watch_module.WATCH_SILENCE_US + watch_module.SHORT_POLL_TIMEOUT_US < 2_000_000
+    earlier_polls_us = (watch_module.MAX_SHORT_POLLS - 1) * watch_module.SHORT_POLL_TIMEOUT_US
+    assert watch_module.WATCH_SILENCE_US + earlier_polls_us < 2_000_000
 
 
 def test_call_after_two_silent_polls_is_sent_within_a_short_grace() -> None:
@@ -187,6 +189,25 @@
     assert watch_module.WATCH_SILENCE_US + polls_us < notified_us + shortest_grace_us
 
 
+def test_poll_after_a_failure_waits_for_a_slow_discovery(
+    discovery: FakeDiscovery, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a proxy that never gets a list, as each of its polls is given up too early."""
+    monkeypatch.setattr(watch_module, "SHORT_POLL_TIMEOUT_US", 60_000)
+    discovery.watch.set_enabled(True)
+    silent = [discovery.receive_request()[0] for _ in range(1 + watch_module.MAX_SHORT_POLLS)]
+    discovery.wait_for_results(1)
+    discovery.watch.set_enabled(True)
+    sock, _ = discovery.receive_request()
+    answer_at_s = time.monotonic() + 1.2
+    while time.monotonic() < answer_at_s:
+        discovery.run_iteration()
+    discovery.answer(sock, ANSWER)
+    assert discovery.received_lists[-1] is not None
+    for silent_sock in silent:
+        silent_sock.close()
+
+
 @pytest.mark.parametrize(
     "silence", ["without an answer", "in the middle of an answer", "while the address changes"]
 )
