Clients are accepted to be rejected while all descriptors are in use

Cause: while descriptors count as exhausted and nobody can be shed, clients stay unread in the accept queue. Adopted connections pass no limit, so that this lasts until they end. Memory had a remedy, descriptors had none, though 64 are kept back. Behind the crowd eight clients were accepted at a time, each for the 50 ms in which its request line may come.

Evidence: a trace of the listener in a scratch copy: 151 of 166 descriptors used by standing connections and probes, eight clients awaiting their line in every pause, some 130 accepts a second, a queue of over 2 s.

Change: the listener accepts up to 32 clients beyond its capacity, to reject them, from the descriptors that are kept back; 8, as before, where memory is missing. Admission is unchanged.

--- a/larchhaven/net/control/connection_limits.py
+++ b/larchhaven/net/control/connection_limits.py
@@ -13,6 +13,9 @@
 
 # Connections reserved for clients that are being rejected; admitted requests must not use them.
 RESERVED_REJECTION_SLOTS = 8
+# Clients that may be accepted beyond the descriptors, to be rejected. Idle clients hold such a slot
+# for the grace of their request line, so that few slots would let a crowd keep others waiting.
+REJECTION_DESCRIPTORS = 32
 # Requests may use this share of the table memory; the rest covers growth between two samples.
 REQUEST_TABLES_RATIO = 0.9
 # One stream to the client and one to the server of its attempt.
@@ -87,6 +90,22 @@
         needed_bytes = (awaiting_request + _STREAMS_PER_CLIENT) * STREAM_BYTES
         return self._account.available_bytes(MemoryPurpose.CONNECTIONS) < needed_bytes
 
+    def has_rejection_slot(self, awaiting_request: int, lingering: int) -> bool:
+        """Return whether a new client may be accepted to be rejected, beyond the capacity.
+
+        Established connections may exceed the limits, for example after they were adopted. Clients
+        that were left in the accept queue would have no answer until some of these end.
+
+        Args:
+            awaiting_request: Number of clients whose request line has not arrived.
+            lingering: Number of clients in lingering close.
+        """
+        clients = awaiting_request + lingering
+        if clients < RESERVED_REJECTION_SLOTS:
+            return True
+        available_bytes = self._account.available_bytes(MemoryPurpose.CONNECTIONS)
+        return clients < REJECTION_DESCRIPTORS and available_bytes >= STREAM_BYTES
+
     def count_shed_client(self) -> None:
         """Count a shed client under the capacity with the higher utilization."""
         connections = self._account.usage(MemoryPurpose.CONNECTIONS)
--- a/larchhaven/net/text_protocol/listener.py
+++ b/larchhaven/net/text_protocol/listener.py
@@ -134,7 +134,7 @@
     def _accept(self) -> bool:
         """Accept some of the waiting clients; return True once none is left."""
         for _ in range(ACCEPTS_PER_ITERATION):
-            if self._must_shed() and self._choose_shed_candidate() is None:
+            if not self._may_accept():
                 self._pause_for_capacity()
                 return False
             try:
@@ -150,6 +150,15 @@
             self._shed_clients()
         return False
 
+    def _may_accept(self) -> bool:
+        """Return whether the next client fits, if need be after one was shed, or to be rejected."""
+        if not self._must_shed() or self._choose_shed_candidate() is not None:
+            return True
+        awaiting = len(self._awaiting_request)
+        if awaiting > self._max_awaiting_request:
+            return False
+        return self._limits.has_rejection_slot(awaiting, len(self.pool.lingering))
+
     def _add_client(self, sock: socket.socket) -> None:
         try:
             self._awaiting_request[TextClientConnection(self, sock)] = None
