A list from discovery that ends with its connection is accepted

Cause: the end of the connection was a failure whenever an answer was in progress, though a body without a length ends with it.

Change: at the end of the connection a response whose headers name no length is complete; any other is cut, and fails as before.

--- a/larchhaven/net/control/endpoint_watch.py
+++ b/larchhaven/net/control/endpoint_watch.py
@@ -317,9 +317,15 @@
             self._read_response(response)
 
     def eof_received(self) -> None:
-        """Close the connection; this is a failure only while a request is in progress."""
+        """Close the connection; this is a failure only while a response is not complete."""
         if self._state is _PollState.IDLE:
             self._disconnect()
+            return
+        response = self._response
+        if response is not None:
+            response.feed_eof()
+        if response is not None and response.is_complete:
+            self._read_response(response)
         else:
             self._fail("discovery closed the connection before the end of the response")
 
--- a/larchhaven/net/control/http_response.py
+++ b/larchhaven/net/control/http_response.py
@@ -10,6 +10,8 @@
 MAX_BODY_BYTES = 4 << 20
 # Fraction of the memory cap for management; the lower of the two limits applies.
 MAX_BODY_MEMORY_RATIO = 0.25
+# Headers that tell where a body ends. Without them it ends with the connection (RFC 9112, 6.3).
+_LENGTH_HEADERS = (b"content-length", b"transfer-encoding")
 
 
 class HttpResponse:
@@ -35,6 +37,8 @@
         self.is_too_long = False
         self.is_complete = False
         self.keeps_connection = False
+        self._has_headers = False
+        self._has_length = False
 
     def feed(self, data: bytes) -> None:
         """Parse the next bytes.
@@ -45,6 +49,11 @@
         if self._parser is not None:
             self._parser.feed_data(data)
 
+    def feed_eof(self) -> None:
+        """Complete the response if its body ends with the connection."""
+        if self._has_headers and not self._has_length:
+            self.is_complete = True
+
     def read_status(self) -> int:
         """Return the status code of a complete response."""
         assert self._parser is not None
@@ -58,6 +67,15 @@
 
     # Callbacks of the parser
 
+    def on_header(self, name: bytes, _value: bytes) -> None:
+        """Note whether the response tells where its body ends."""
+        if name.lower() in _LENGTH_HEADERS:
+            self._has_length = True
+
+    def on_headers_complete(self) -> None:
+        """Record that the headers are complete."""
+        self._has_headers = True
+
     def on_body(self, body: bytes) -> None:
         """Append a part of the body, if the memory limit allows it."""
         length = len(self.body) + len(body)
--- a/tests/net/control/test_endpoint_watch.py
+++ b/tests/net/control/test_endpoint_watch.py
@@ -208,6 +208,19 @@
         silent_sock.close()
 
 
+def test_list_whose_end_is_the_end_of_the_connection_is_accepted(discovery: FakeDiscovery) -> None:
+    """Guards against a proxy that never learns of a change: HTTP allows a body without a length."""
+    discovery.watch.set_enabled(True)
+    sock, _ = discovery.receive_request()
+    body = f'{{"seq":8,"hosts":[{DRAINING}]}}'
+    sock.sendall(f"HTTP/1.1 200 OK\r\n\r\n{body}".encode())
+    sock.close()
+    discovery.wait_for_results(1)
+    assert discovery.received_lists[0] is not None
+    assert discovery.received_lists[0].endpoints[0].health == "draining"
+    assert discovery.receive_request()[1].startswith("GET /v1/endpoints?from=8&hold_ms=60")
+
+
 @pytest.mark.parametrize(
     "silence", ["without an answer", "in the middle of an answer", "while the address changes"]
 )
--- a/tests/net/control/test_http_response.py
+++ b/tests/net/control/test_http_response.py
@@ -49,6 +49,34 @@
     assert response.read_status() == 503
 
 
+def test_body_without_a_length_ends_with_the_connection(account: MemoryAccount) -> None:
+    response = HttpResponse(account)
+    response.feed(b"HTTP/1.1 200 OK\r\n\r\nabcd")
+    assert not response.is_complete
+    response.feed_eof()
+    assert response.is_complete
+    assert not response.keeps_connection
+    assert (response.read_status(), bytes(response.body)) == (200, b"abcd")
+
+
+@pytest.mark.parametrize(
+    "received",
+    [
+        b"",
+        b"HTTP/1.1 200 OK\r\n",
+        HEAD % 8 + b"abcd",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nabcd\r\n",
+    ],
+)
+def test_end_of_the_connection_does_not_complete_a_cut_response(
+    account: MemoryAccount, received: bytes
+) -> None:
+    response = HttpResponse(account)
+    response.feed(received)
+    response.feed_eof()
+    assert not response.is_complete
+
+
 def test_bytes_of_another_protocol_are_an_error(account: MemoryAccount) -> None:
     with pytest.raises(httptools.HttpParserError):
         HttpResponse(account).feed(b"SSH-2.0\r\n")
