--- a/tests/net/races/test_retries.py
+++ b/tests/net/races/test_retries.py
@@ -30,11 +30,27 @@
         yield Idempotency.WITH_KEY, scope
 
 
+def make_harness(
+    idempotency: Idempotency,
+    scope: DeduplicationScope = DeduplicationScope.ALL,
+    second_server: str = "same cell",
+) -> InProcessProxy:
+    """Return a proxy with one request class and two servers."""
+    request_class = replace(
+        BASIC_SETTINGS.classes[0],
+        idempotency=idempotency,
+        deduplication_scope=scope,
+        deduplication_window_us=WINDOW_US,
+    )
+    zone, cell = {"same cell": (0, 0), "other cell": (0, 1), "other zone": (1, 1)}[second_server]
+    servers = (PAIR[0], replace(PAIR[1], zone=zone, cell=cell))
+    return InProcessProxy(replace(BASIC_SETTINGS, classes=(request_class,)), servers)
+
+
 @pytest.mark.parametrize("answer", [b"BYE\r\n", b"BYE x0=0.5\r\n"])
 def test_request_that_a_server_has_served_to_its_end_is_not_sent_to_another(answer: bytes) -> None:
     """Guards against a request that may run once running twice: BYE says that it has run."""
-    request_class = replace(BASIC_SETTINGS.classes[0], idempotency=Idempotency.NEVER)
-    harness = InProcessProxy(replace(BASIC_SETTINGS, classes=(request_class,)), PAIR)
+    harness = make_harness(Idempotency.NEVER)
     try:
         sock = harness.connect_client(REQUEST_LINE % 1)
         harness.run(4)
@@ -52,8 +68,7 @@
     monkeypatch: pytest.MonkeyPatch, code: int
 ) -> None:
     """Guards against a second execution after an error of this process, such as no memory."""
-    request_class = replace(BASIC_SETTINGS.classes[0], idempotency=Idempotency.NEVER)
-    harness = InProcessProxy(replace(BASIC_SETTINGS, classes=(request_class,)), PAIR)
+    harness = make_harness(Idempotency.NEVER)
 
     def fail_to_read(sock: socket.socket, space: memoryview) -> int:
         raise OSError(code, "no more")
@@ -74,6 +89,25 @@
         harness.close()
 
 
+def end_first_attempt(harness: InProcessProxy, answer: bytes) -> None:
+    """Let the server of the first attempt give an answer, or reset the connection."""
+    server = harness.server_sockets[0]
+    assert read(server).startswith(b"OPEN ")
+    if answer == b"reset":
+        reset(server)
+        harness.server_sockets.clear()
+    else:
+        server.send(answer)
+
+
+def is_in_scope(scope: DeduplicationScope, second_server: str) -> bool:
+    return (
+        scope is DeduplicationScope.ALL
+        or second_server == "same cell"
+        or (scope is DeduplicationScope.ZONE and second_server == "other cell")
+    )
+
+
 @pytest.mark.parametrize("outlasts_window", [False, True])
 @pytest.mark.parametrize("second_server", ["same cell", "other cell", "other zone"])
 @pytest.mark.parametrize(
@@ -92,49 +126,29 @@
     If the check were made only before the connect, a retry whose connect outlasts the deduplication
     window would be sent all the same.
     """
-    request_class = replace(
-        BASIC_SETTINGS.classes[0],
-        idempotency=idempotency,
-        deduplication_scope=scope,
-        deduplication_window_us=WINDOW_US,
+    harness = make_harness(idempotency, scope, second_server)
+    has_key = idempotency is Idempotency.WITH_KEY
+    may_retry = (
+        first_answer == b"BUSY\r\n"
+        or idempotency is Idempotency.ALWAYS
+        or (has_key and is_in_scope(scope, second_server) and not outlasts_window)
     )
-    zone, cell = {"same cell": (0, 0), "other cell": (0, 1), "other zone": (1, 1)}[second_server]
-    servers = (PAIR[0], replace(PAIR[1], zone=zone, cell=cell))
-    harness = InProcessProxy(replace(BASIC_SETTINGS, classes=(request_class,)), servers)
     try:
         sock = harness.connect_client(REQUEST_LINE % 1)
         harness.run(4)
-        server = harness.server_sockets[0]
-        assert read(server).startswith(b"OPEN ")
-        if first_answer == b"reset":
-            reset(server)
-            harness.server_sockets.clear()
-        else:
-            server.send(first_answer)
+        end_first_attempt(harness, first_answer)
         harness.run(1)  # the second attempt, if there is one, starts to connect
         harness.run(1, WINDOW_US + 10_000 if outlasts_window else 10_000)
         harness.run(4)
-        may_have_run = first_answer != b"BUSY\r\n"
-        has_key = idempotency is Idempotency.WITH_KEY
-        is_in_scope = (
-            scope is DeduplicationScope.ALL
-            or second_server == "same cell"
-            or (scope is DeduplicationScope.ZONE and second_server == "other cell")
-        )
-        if (
-            not may_have_run
-            or idempotency is Idempotency.ALWAYS
-            or (has_key and is_in_scope and not outlasts_window)
-        ):
+        if may_retry:
             assert len(forwarded_requests(harness)) == 1
             assert read(sock) == b""
         else:
             # A keyed retry without a server in its scope waits for one until the window ends.
             harness.run(4, WINDOW_US)
             assert forwarded_requests(harness) == []
-            assert read(sock) == (
-                b"BUSY\r\n." if has_key and scope is DeduplicationScope.ALL else b"ERR\r\n."
-            )
+            client_may_retry = has_key and scope is DeduplicationScope.ALL
+            assert read(sock) == (b"BUSY\r\n." if client_may_retry else b"ERR\r\n.")
         harness.assert_everything_released()
     finally:
         harness.close()
