The first poll after a failure waits 1 s again, further ones 2 s

Since the polls after a silent watch are shorter, a poll after any failure waited 2 s for its answer; where discovery is silent for some seconds, that kept the next poll away for longer than before. The first poll after a failure has the second that it had; only further ones wait 2 s, for a slow discovery.

--- a/larchhaven/net/control/endpoint_watch.py
+++ b/larchhaven/net/control/endpoint_watch.py
@@ -31,9 +31,9 @@
 # before a short drain grace has passed as well.
 SHORT_POLL_TIMEOUT_US = 650_000
 MAX_SHORT_POLLS = 3
-# Timeout of the poll with which the watch starts.
+# Timeout of the poll with which the watch starts, and of the first one after a failure.
 FIRST_POLL_TIMEOUT_US = 1_000_000
-# Timeout of a poll after a failure: discovery may be slow or crowded.
+# Timeout of the polls after further failures: discovery may be slow or crowded.
 RETRY_TIMEOUT_US = 2_000_000
 # A connect that hangs may have begun while discovery was cut off, and then never comes up.
 CONNECT_TIMEOUT_US = 500_000
@@ -95,8 +95,8 @@
         self._is_out_of_sync = False
         # Number of consecutive short polls, which have no hold time: changes may have been missed.
         self._short_polls = 0
-        # Whether the watch has failed, and discovery has not been reached since.
-        self._has_failed = False
+        # Number of failures since discovery was last reached by a watch or sent a list.
+        self._failures = 0
         self._silent_since_us: int | None = None
         self.notification_delay_us = 0
         self._requested_at_us = -MIN_REQUEST_INTERVAL_US
@@ -154,9 +154,9 @@
             return COMPLETE_LIST_TIMEOUT_US
         if not self._short_polls:
             return WATCH_HOLD_MS * US_PER_MS + WATCH_SILENCE_US
-        if self._has_failed:
+        if self._failures > 1:
             return RETRY_TIMEOUT_US
-        if self._silent_since_us is None:
+        if self._failures or self._silent_since_us is None:
             return FIRST_POLL_TIMEOUT_US
         return SHORT_POLL_TIMEOUT_US
 
@@ -168,7 +168,7 @@
         expires_us = self._requested_at_us + self._find_timeout_us()
         self._timeout = self._loop.call_later(expires_us - self._loop.now_us, self._on_timeout)
         if not self._short_polls:
-            self._has_failed = False
+            self._failures = 0
         hold_ms = 0 if self._short_polls else WATCH_HOLD_MS
         query = "" if self._needs_complete_list else f"?from={self._version}&hold_ms={hold_ms}"
         host, port = self._address
@@ -211,7 +211,7 @@
 
     def _is_last_attempt(self) -> bool:
         """Return whether the watch fails if the current request is not answered in time."""
-        is_retry = self._has_failed and self._short_polls > 0
+        is_retry = self._failures > 0 and self._short_polls > 0
         return self._needs_complete_list or is_retry or self._short_polls >= MAX_SHORT_POLLS
 
     def _note_silence(self) -> None:
@@ -223,7 +223,7 @@
             return
         self._disconnect()
         self._note_silence()
-        self._has_failed = True
+        self._failures += 1
         self._is_enabled = False
         self._needs_complete_list = self._is_out_of_sync
         self._log.warning("watch failed, retrying", reason)
@@ -273,7 +273,7 @@
         self._drop_response()
         self._needs_complete_list = self._is_out_of_sync = False
         self._short_polls = 0
-        self._has_failed = False
+        self._failures = 0
         self._version = message.version
         self.notification_delay_us = 0
         if self._silent_since_us is not None:
