Connects to discovery that hang follow each other until one comes up

What callers would see: where discovery is cut off from a proxy, the first call after the cut waited for the backoff of failed calls, and requests went to servers that had drained meanwhile.

Cause: a connect that hung counted as a silent poll, three of them as a failure of the watch, and then the balancer's backoff came, up to 2 s in small fleets. Unlike a poll, a connect that hangs costs discovery nothing.

Change: it is given up after 0.4 s (0.5 s before), and the next one follows every 125 ms for each proxy of the fleet, at least every 5 s and at most every 0.4 s.

--- a/larchhaven/net/control/endpoint_watch.py
+++ b/larchhaven/net/control/endpoint_watch.py
@@ -36,7 +36,11 @@
 # Timeout of the polls after further failures: discovery may be slow or crowded.
 RETRY_TIMEOUT_US = 2_000_000
 # A connect that hangs may have begun while discovery was cut off, and then never comes up.
-CONNECT_TIMEOUT_US = 500_000
+CONNECT_TIMEOUT_US = 400_000
+# Interval between connects that hang, for each proxy: when discovery is back, all proxies connect
+# within one interval.
+CONNECT_INTERVAL_PER_PROXY_US = 125_000
+MAX_CONNECT_INTERVAL_US = 5_000_000
 COMPLETE_LIST_TIMEOUT_US = 2_000_000
 # Minimum time between two requests. If discovery answers at once without changes, this prevents a
 # tight loop of polls. The protocol allows 200 ms.
@@ -63,6 +67,7 @@
         version: Version of the current endpoint list.
         on_list: Called with each list received, or with None when the watch has failed and is
             disabled.
+        proxy_count: Number of proxies that use discovery.
 
     Attributes:
         notification_delay_us: Time for which this process may already have counted as notified of
@@ -77,6 +82,7 @@
         address: tuple[str, int],
         version: int,
         on_list: Callable[[EndpointListMessage | None], None],
+        proxy_count: int = 1,
     ) -> None:
         self._loop = loop
         self._pool = pool
@@ -84,6 +90,8 @@
         self._address = address
         self._version = version
         self._on_list = on_list
+        interval_us = min(CONNECT_INTERVAL_PER_PROXY_US * proxy_count, MAX_CONNECT_INTERVAL_US)
+        self._connect_pause_us = max(interval_us - CONNECT_TIMEOUT_US, 0)
         self._is_enabled = False
         self._state = _PollState.IDLE
         self._stream: Stream | None = None
@@ -142,7 +150,7 @@
         if self._stream is not None:
             self._send_request(self._stream)
             return
-        self._timeout = self._loop.call_later(CONNECT_TIMEOUT_US, self._on_timeout)
+        self._timeout = self._loop.call_later(CONNECT_TIMEOUT_US, self._on_connect_timeout)
         try:
             self._stream = Stream.connect(self._loop, self._pool, self._address, self)
         except OSError as error:
@@ -198,6 +206,21 @@
 
     # Failures
 
+    def _on_connect_timeout(self) -> None:
+        """Connect anew after a pause: a connect that hangs costs discovery nothing."""
+        reason = f"not connected within {CONNECT_TIMEOUT_US // US_PER_MS} ms"
+        if not self._is_enabled:
+            self._fail(reason)
+            return
+        self._log.warning("watch failed, retrying", reason)
+        self._disconnect()
+        self._note_silence()
+        self._next_request = self._loop.call_later(self._connect_pause_us, self._connect_again)
+
+    def _connect_again(self) -> None:
+        if self._is_enabled and self._state is _PollState.IDLE:
+            self._start_request()
+
     def _on_timeout(self) -> None:
         """Follow a silent request with a short poll, or fail if no further one is allowed."""
         if self._is_last_attempt() or not self._is_enabled:
--- a/larchhaven/net/upstream_servers.py
+++ b/larchhaven/net/upstream_servers.py
@@ -93,6 +93,7 @@
             config.discovery_address,
             config.initial_endpoints.version,
             self._on_endpoint_list,
+            config.settings.proxy_count,
         )
 
     def start(self) -> None:
