--- a/tests/net/control/test_endpoint_watch.py
+++ b/tests/net/control/test_endpoint_watch.py
@@ -22,7 +22,7 @@
 from larchhaven.routing.events import EndpointListKind
 
 TIMEOUT_S = 10.0
-# A change may count as notified when discovery can be reached again, and a drain grace may be short.
+# A change may count as notified when discovery is back, and a drain grace may be short.
 CONNECT_BOUND_S = 0.5
 SLACK_S = 0.5
 ANSWER = b'{"seq":8,"whole":false,"hosts":[]}'
