--- a/larchhaven/routing/endpoint_list.py
+++ b/larchhaven/routing/endpoint_list.py
@@ -33,7 +33,8 @@
 # A proxy counts as notified of a change 6 s after discovery can be reached again. This leaves 0.5 s
 # for the poll.
 MAX_RETRY_DELAY_US = 5_500_000
-MIN_MAX_RETRY_DELAY_US = 2_000_000  # in a small fleet, more than one retry fits into these 6 s
+# Longest retry delay in a small fleet, so that more than one retry fits into these 6 s.
+SMALL_FLEET_RETRY_DELAY_US = 2_000_000
 # Shortest delay of a later retry, as a fraction of the backoff. The first retry has spread the
 # proxies; much more jitter would send more retries at once than discovery can answer.
 MIN_RETRY_DELAY_FRACTION = 0.9
@@ -43,7 +44,7 @@
 def _max_retry_delay_us(proxy_count: int) -> int:
     """Return the longest retry delay for which retries come no faster than discovery answers."""
     fleet_us = RETRY_INTERVAL_PER_PROXY_US * proxy_count
-    return sorted((MIN_MAX_RETRY_DELAY_US, MAX_RETRY_DELAY_US, fleet_us))[1]
+    return sorted((SMALL_FLEET_RETRY_DELAY_US, MAX_RETRY_DELAY_US, fleet_us))[1]
 
 
 class PollBackoff:
