--- a/review/stand_ins_2/discovery.py
+++ b/review/stand_ins_2/discovery.py
@@ -12,6 +12,8 @@
 
 _REQUEST = re.compile(rb"GET /v1/endpoints(?:\?from=(\d+)&hold_ms=(\d+))? HTTP/1\.1\r\n")
 
+FOREVER_S = 3600.0
+
 
 @dataclass
 class Entry:
@@ -54,6 +56,7 @@
     Attributes:
         delay_s: The time that each call takes before it is answered.
         watches: The calls that wait for a change now.
+        is_silent: Whether it takes calls, and answers none of them, then or later.
     """
 
     def __init__(self, record: Record, entries: list[Entry], name: str = "discovery") -> None:
@@ -63,6 +66,7 @@
         self._version = 1
         self._changed = asyncio.Condition()
         self.delay_s = 0.0
+        self.is_silent = False
         self.watches: list[Watch] = []
         self.address = ""
         self._server: asyncio.Server | None = None
@@ -109,6 +113,9 @@
 
     async def _answer(self, head: bytes) -> dict[str, object]:
         request = _REQUEST.match(head)
+        if self.is_silent:
+            self._record.add(self._name, "takes a call and stays silent")
+            await asyncio.sleep(FOREVER_S)
         if request is None or request.group(1) is None:
             self._record.add(self._name, "call for the whole list")
             await asyncio.sleep(self.delay_s)
@@ -122,7 +129,7 @@
                     async with asyncio.timeout(hold_s):
                         await self._changed.wait_for(lambda: self._version > known)
             if watch.is_silent:
-                await asyncio.sleep(3600)
+                await asyncio.sleep(FOREVER_S)
         finally:
             self.watches.remove(watch)
         await asyncio.sleep(self.delay_s)
