Calls to discovery stay open while further ones follow, for silence and slowness

Cause: one timeout decided both when a lost call is repeated and how long a response is waited for. 0.65 s gives up a slow discovery, each time on a new connection; and a timeout counted as a failure of the watch, so that the backoff of a discovery that refuses calls came on top: polls 1.8 to 2 s apart.

Change: a call not answered stays open for 2.5 s past its hold time while others follow it on connections of their own, and the first response wins. PollSchedule alone decides when the next follows. Silence no longer fails a watch; an error of the last open call does. The connection to discovery is a module of its own. The first list of a process whose lists are pushed counts as notified from its start.

Tests: test_watch_fails_after_its_last_silent_short_poll... asked that the watch fails after three silent polls; that is the fault, so test_polls_go_on_for_as_long_as_... asks for the polls instead, with the restart in a test of its own. The two tests on constants compute the same bounds from PollSchedule, for more fleet sizes.

--- a/tests/net/control/test_endpoint_watch.py
+++ b/tests/net/control/test_endpoint_watch.py
@@ -9,13 +9,16 @@
 import pytest
 
 from larchhaven.memory.account import MemoryAccount
+from larchhaven.net.control import discovery_connection as connection_module
 from larchhaven.net.control import endpoint_watch as watch_module
+from larchhaven.net.control import poll_schedule as schedule_module
 from larchhaven.net.control.endpoint_directory import (
     EndpointDirectory,
     EndpointEntry,
     EndpointListMessage,
 )
 from larchhaven.net.control.endpoint_watch import EndpointWatch
+from larchhaven.net.control.poll_schedule import PollSchedule
 from larchhaven.net.core.buffer_pool import BufferPool
 from larchhaven.net.core.event_loop import EventLoop
 from larchhaven.net.core.rate_limited_log import RateLimitedLog
@@ -36,12 +39,13 @@
         self.received_lists: list[EndpointListMessage | None] = []
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
         self.listener.setblocking(False)
+        self.address = self.listener.getsockname()
         pool = BufferPool(MemoryAccount.unbounded())
         self.watch = EndpointWatch(
             self.loop,
             pool,
             RateLimitedLog(self.loop),
-            self.listener.getsockname(),
+            self.address,
             7,
             self.received_lists.append,
         )
@@ -86,6 +90,12 @@
         while len(self.received_lists) < result_count and time.monotonic() < deadline_s:
             self.run_iteration()
 
+    def run_for(self, duration_s: float) -> None:
+        """Run the loop for some time."""
+        deadline_s = time.monotonic() + duration_s
+        while time.monotonic() < deadline_s:
+            self.run_iteration()
+
     def run_iteration(self) -> None:
         self.loop.call_later(5_000, lambda: None)  # limits how long the loop waits
         self.loop.run_once()
@@ -102,8 +112,21 @@
     """Return discovery and a watch with a short hold time, which detects silence early."""
     monkeypatch.setattr(watch_module, "WATCH_HOLD_MS", 60)
     monkeypatch.setattr(watch_module, "WATCH_SILENCE_US", 60_000)
-    monkeypatch.setattr(watch_module, "SHORT_POLL_TIMEOUT_US", 60_000_000)
-    monkeypatch.setattr(watch_module, "COMPLETE_LIST_TIMEOUT_US", 60_000_000)
+    monkeypatch.setattr(schedule_module, "PROMPT_POLL_INTERVAL_US", 60_000_000)
+    monkeypatch.setattr(schedule_module, "MIN_POLL_INTERVAL_US", 60_000_000)
+    monkeypatch.setattr(schedule_module, "MAX_POLL_INTERVAL_US", 60_000_000)
+    monkeypatch.setattr(connection_module, "RESPONSE_TIMEOUT_US", 60_000_000)
+    return FakeDiscovery()
+
+
+@pytest.fixture
+def impatient_discovery(monkeypatch: pytest.MonkeyPatch) -> FakeDiscovery:
+    """Return discovery and a watch whose polls follow each other after 60 ms."""
+    monkeypatch.setattr(watch_module, "WATCH_HOLD_MS", 60)
+    monkeypatch.setattr(watch_module, "WATCH_SILENCE_US", 60_000)
+    monkeypatch.setattr(schedule_module, "PROMPT_POLL_INTERVAL_US", 60_000)
+    monkeypatch.setattr(schedule_module, "MIN_POLL_INTERVAL_US", 60_000)
+    monkeypatch.setattr(schedule_module, "POLL_INTERVAL_PER_PROXY_US", 60_000)
     return FakeDiscovery()
 
 
@@ -138,7 +161,7 @@
 ) -> None:
     """A short poll that is sent too late can end after the drain grace of a server.
 
-    The timeout of a poll is one minute here, and the poll must be sent long before that.
+    The interval of polls is one minute here, and the poll must be sent long before that.
     """
     discovery.watch.set_enabled(True)
     _silent, _ = discovery.receive_request()
@@ -149,66 +172,148 @@
     assert discovery.received_lists[0].endpoints[0].health == "draining"
 
 
-def test_watch_fails_after_its_last_silent_short_poll_and_restarts_with_a_short_poll(
-    discovery: FakeDiscovery, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """If a short poll is silent too, the next one must follow before the watch fails.
+def test_polls_go_on_for_as_long_as_discovery_is_silent(impatient_discovery: FakeDiscovery) -> None:
+    """Guards against pauses after silent polls: the list comes late when the silence ends.
 
-    After the failure, changes may have been missed, so the watch must restart with a short poll.
+    While these polls are silent, the watch does not fail, and the balancer adds no backoff.
     """
-    monkeypatch.setattr(watch_module, "SHORT_POLL_TIMEOUT_US", 60_000)
+    discovery = impatient_discovery
     discovery.watch.set_enabled(True)
-    requests = [discovery.receive_request() for _ in range(4)]
-    assert [request_line.split("=")[-1] for _, request_line in requests] == [
-        "60 HTTP/1.1",
-        "0 HTTP/1.1",
-        "0 HTTP/1.1",
-        "0 HTTP/1.1",
-    ]
+    requests = [discovery.receive_request() for _ in range(4 + schedule_module.MAX_PROMPT_POLLS)]
+    assert [line.split("=")[-1] for _, line in requests] == ["60 HTTP/1.1"] + 6 * ["0 HTTP/1.1"]
     assert discovery.received_lists == []
+    sock, request_line = discovery.receive_request()
+    assert request_line == "GET /v1/endpoints?from=7&hold_ms=0 HTTP/1.1"
+    discovery.answer(sock, f'{{"seq":8,"hosts":[{DRAINING}]}}'.encode())
+    assert [update and update.version for update in discovery.received_lists] == [8]
+    assert discovery.receive_next_request(sock).endswith("?from=8&hold_ms=60 HTTP/1.1")
+
+
+def test_watch_that_fails_while_polling_restarts_with_a_short_poll(
+    impatient_discovery: FakeDiscovery,
+) -> None:
+    """After the failure, changes may have been missed, so the watch restarts with a short poll."""
+    discovery = impatient_discovery
+    discovery.watch.set_enabled(True)
+    requests = [discovery.receive_request() for _ in range(2)]
+    discovery.listener.close()
+    for sock, _ in requests:
+        sock.close()
     discovery.wait_for_results(1)
     assert discovery.received_lists == [None]
+    discovery.listener = socket.create_server(discovery.address)
+    discovery.listener.setblocking(False)
     discovery.watch.set_enabled(True)
     assert discovery.receive_request()[1] == "GET /v1/endpoints?from=7&hold_ms=0 HTTP/1.1"
 
 
-def test_last_poll_is_sent_before_missed_changes_count_as_notified() -> None:
+@pytest.mark.parametrize("proxy_count", [1, 3, 5, 200])
+def test_last_poll_is_sent_before_missed_changes_count_as_notified(proxy_count: int) -> None:
     """Missed changes count as notified two seconds after the end of the hold time."""
-    earlier_polls_us = (watch_module.MAX_SHORT_POLLS - 1) * watch_module.SHORT_POLL_TIMEOUT_US
-    assert watch_module.WATCH_SILENCE_US + earlier_polls_us < 2_000_000
+    schedule = PollSchedule(proxy_count)
+    intervals_us = [schedule.note_poll() for _ in range(schedule_module.MAX_PROMPT_POLLS - 1)]
+    assert watch_module.WATCH_SILENCE_US + sum(intervals_us) < 2_000_000
 
 
-def test_call_after_two_silent_polls_is_sent_within_a_short_grace() -> None:
-    """The watch and both short polls may miss a drain whose drain grace is half a second.
+@pytest.mark.parametrize("proxy_count", [1, 2, 3, 4, 5])
+def test_call_after_silent_polls_is_sent_within_a_short_grace(proxy_count: int) -> None:
+    """The watch and all prompt polls may miss a drain whose drain grace is half a second.
 
     The next request must be sent before this drain grace ends.
     """
     notified_us = 2_000_000  # after the end of the hold time, by the protocol
     shortest_grace_us = 500_000
-    polls_us = watch_module.MAX_SHORT_POLLS * watch_module.SHORT_POLL_TIMEOUT_US
-    assert watch_module.WATCH_SILENCE_US + polls_us < notified_us + shortest_grace_us
+    schedule = PollSchedule(proxy_count)
+    intervals_us = [schedule.note_poll() for _ in range(schedule_module.MAX_PROMPT_POLLS)]
+    assert watch_module.WATCH_SILENCE_US + sum(intervals_us) < notified_us + shortest_grace_us
 
 
-def test_polls_after_failures_wait_for_a_slow_discovery(
-    discovery: FakeDiscovery, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize("proxy_count", [1, 2, 3])
+def test_poll_after_a_long_silence_is_sent_within_a_short_grace(proxy_count: int) -> None:
+    """Guards against requests to drained servers when discovery answers again after a silence."""
+    shortest_grace_us = 500_000
+    schedule = PollSchedule(proxy_count)
+    intervals_us = [schedule.note_poll() for _ in range(20)]
+    assert max(intervals_us[schedule_module.MAX_PROMPT_POLLS :]) < shortest_grace_us
+
+
+@pytest.mark.parametrize(
+    "request_kind", ["behind a silent watch", "at the start", "after a failure", "complete list"]
+)
+def test_slow_discovery_is_waited_for(
+    impatient_discovery: FakeDiscovery, request_kind: str
 ) -> None:
     """Guards against a proxy that never gets a list, as each of its polls is given up too early."""
-    monkeypatch.setattr(watch_module, "SHORT_POLL_TIMEOUT_US", 60_000)
-    discovery.watch.set_enabled(True)
-    silent = [discovery.receive_request()[0] for _ in range(1 + watch_module.MAX_SHORT_POLLS)]
-    discovery.wait_for_results(1)
-    discovery.watch.set_enabled(True)
-    silent.append(discovery.receive_request()[0])
-    discovery.wait_for_results(2)
+    discovery = impatient_discovery
+    if request_kind == "at the start":
+        discovery.watch.start_with_poll()
+    elif request_kind == "complete list":
+        discovery.watch.poll_complete_list()
+    else:
+        discovery.watch.set_enabled(True)
+    sock, _ = discovery.receive_request()
+    if request_kind == "after a failure":
+        sock.close()
+        discovery.wait_for_results(1)
+        discovery.watch.set_enabled(True)
+    if request_kind in ("behind a silent watch", "after a failure"):
+        sock, _ = discovery.receive_request()
+    discovery.run_for(1.6)
+    result_count = len(discovery.received_lists)
+    discovery.answer(sock, f'{{"seq":8,"whole":true,"hosts":[{DRAINING}]}}'.encode())
+    assert len(discovery.received_lists) == result_count + 1
+    assert discovery.received_lists[-1] is not None
+    assert discovery.received_lists[-1].version == 8
+
+
+@pytest.mark.parametrize("failure", ["HTTP error", "invalid body", "reset"])
+def test_failure_of_one_of_several_requests_is_not_a_failure_of_the_watch(
+    impatient_discovery: FakeDiscovery, failure: str
+) -> None:
+    """Guards against a backoff while another request may still be answered."""
+    discovery = impatient_discovery
     discovery.watch.set_enabled(True)
+    _silent, _ = discovery.receive_request()
+    failing, _ = discovery.receive_request()
+    if failure == "HTTP error":
+        failing.sendall(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+    elif failure == "invalid body":
+        failing.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n{")
+    failing.close()
     sock, _ = discovery.receive_request()
-    answer_at_s = time.monotonic() + 1.2
-    while time.monotonic() < answer_at_s:
-        discovery.run_iteration()
+    assert discovery.received_lists == []
     discovery.answer(sock, ANSWER)
-    assert discovery.received_lists[-1] is not None
-    for silent_sock in silent:
-        silent_sock.close()
+    assert [update and update.version for update in discovery.received_lists] == [8]
+
+
+def test_first_list_counts_as_notified_from_the_start_of_the_process(
+    discovery: FakeDiscovery,
+) -> None:
+    """Guards against a drain grace that begins late: a pushed list counts as known at once."""
+    started_us = discovery.loop.now_us
+    discovery.watch.start_with_poll()
+    sock, _ = discovery.receive_request()
+    discovery.run_for(0.3)
+    discovery.answer(sock, ANSWER)
+    delay_us = discovery.watch.notification_delay_us
+    assert 300_000 <= delay_us <= discovery.loop.now_us - started_us
+
+
+def test_unanswered_request_ends_after_its_timeout(
+    impatient_discovery: FakeDiscovery, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against connections that pile up while discovery is silent."""
+    monkeypatch.setattr(connection_module, "RESPONSE_TIMEOUT_US", 200_000)
+    discovery = impatient_discovery
+    discovery.watch.set_enabled(True)
+    first, _ = discovery.receive_request()
+    later = [discovery.receive_request()[0] for _ in range(8)]
+    assert first.recv(1) == b""
+    discovery.run_for(0.1)
+    assert discovery.received_lists == []
+    assert discovery.loop.socket_count() <= 6
+    for sock in later:
+        sock.close()
 
 
 def test_list_whose_end_is_the_end_of_the_connection_is_accepted(discovery: FakeDiscovery) -> None:
@@ -265,7 +370,7 @@
 def test_connect_timeout_does_not_end_a_watch_that_discovery_holds(
     discovery: FakeDiscovery, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(watch_module, "CONNECT_TIMEOUT_US", 50_000)
+    monkeypatch.setattr(connection_module, "CONNECT_TIMEOUT_US", 50_000)
     monkeypatch.setattr(watch_module, "WATCH_HOLD_MS", 400)
     discovery.watch.set_enabled(True)
     held_sock, _ = discovery.receive_request()
--- a/tests/net/test_endpoint_updates.py
+++ b/tests/net/test_endpoint_updates.py
@@ -4,6 +4,7 @@
 
 import json
 import select
+import time
 
 import pytest
 
@@ -70,6 +71,18 @@
         assert proxy.accept(proxy.servers[1]).read_line()
 
 
+def test_first_list_of_a_slow_discovery_is_waited_for(proxy: ProxyProcess) -> None:
+    """Guards against requests to drained servers after a restart, as each poll is given up."""
+    discovery = LineConnection(proxy.discovery.accept()[0])
+    draining = make_endpoint("s0", proxy.servers[0], "draining")
+    time.sleep(1.6)  # discovery may need up to 2 s
+    answer_watch(discovery, json.dumps({"seq": 8, "whole": False, "hosts": [draining]}))
+    assert discovery.read_line().startswith("GET /v1/endpoints?from=8&hold_ms=8000")
+    clients = [proxy.connect_client(make_request_line(REQUEST_FIELDS)) for _ in range(6)]
+    for _ in clients:
+        assert proxy.accept(proxy.servers[1]).read_line()
+
+
 @pytest.mark.parametrize("proxy", [{"discovery": "subscribe"}], indirect=True)
 def test_clients_of_a_draining_server_are_migrated(proxy: ProxyProcess) -> None:
     """Clients migrate when their server drains, before it exits and disconnects them."""
