Shutdown with a shared socket ends before SIGKILL: deadlines count as at most 3 s

Cause: compute_deadlines took max(longest, 3 s) where the socket is shared and min where it isn't; the platform's page says min. The answers were planned for 5.05 s, the kill comes at 3.7 s.

Evidence: 8 of the 18 new cases fail before the change, two of them with real processes.

Change: the awaited deadline is counted once. Migrations left over after a transfer are given up with the last answers; the timer was due after the end of the process.

--- a/larchhaven/net/graceful_shutdown.py
+++ b/larchhaven/net/graceful_shutdown.py
@@ -31,10 +31,12 @@
 FIRST_LINE_GRACE_US = 100_000
 POLL_INTERVAL_US = 50_000
 # If a successor may share the listening socket, the process ends this long after the longest
-# deadline, or after MAX_AWAITED_DEADLINE_US if that is longer.
+# deadline that the platform waits for.
 SHARED_SOCKET_END_GRACE_US = 400_000
 # Delay after which connections that have not been transferred to the successor are migrated.
 MIGRATION_DELAY_US = 500_000
+# Where the deadlines leave less after that delay, the connections are migrated at once.
+MIN_MIGRATION_TIME_US = 1_000
 
 
 class ShutdownPhase(enum.Enum):
@@ -53,8 +55,7 @@
 
     Attributes:
         answers_us: When every request has its final answer.
-        migrations_us: When every connection that ends at the proxy is migrated; with a successor,
-            the migration delay is added.
+        migrations_us: When every connection that ends at the proxy is migrated.
         end_us: When the process ends; None if it runs until its last request has ended.
     """
 
@@ -70,13 +71,14 @@
         settings: The routing settings, with the request classes.
         shares_socket: Whether a successor may share the listening socket for clients.
     """
-    longest_us = max(c.deadline_us for c in settings.classes)
-    migrations_us = min(longest_us, MAX_AWAITED_DEADLINE_US)
+    longest_us = max(request_class.deadline_us for request_class in settings.classes)
+    awaited_us = min(longest_us, MAX_AWAITED_DEADLINE_US)
     if shares_socket:
-        end_us = max(longest_us, MAX_AWAITED_DEADLINE_US) + SHARED_SOCKET_END_GRACE_US
-        return ShutdownDeadlines(end_us - ANSWER_MARGIN_US, migrations_us, end_us)
-    answers_us = migrations_us + KILL_GRACE_US - ANSWER_MARGIN_US
-    return ShutdownDeadlines(answers_us, migrations_us, None)
+        end_us = awaited_us + SHARED_SOCKET_END_GRACE_US
+        answers_us = end_us - ANSWER_MARGIN_US
+        return ShutdownDeadlines(answers_us, answers_us, end_us)
+    answers_us = awaited_us + KILL_GRACE_US - ANSWER_MARGIN_US
+    return ShutdownDeadlines(answers_us, awaited_us, None)
 
 
 class OpenRequests(Protocol):
@@ -172,14 +174,14 @@
         self._requests.set_answer_deadline(loop.now_us + deadlines.answers_us)
         if self._shares_socket:
             self._listener.stop()  # new clients wait in the accept queue for the successor
-        migrated_us = migration_delay_us + deadlines.migrations_us
-        loop.call_later(migrated_us, self._connections.end_migrations)
+        loop.call_later(deadlines.migrations_us, self._connections.end_migrations)
         if deadlines.end_us is not None:
             loop.call_later(deadlines.end_us, loop.stop)
+        within_us = max(deadlines.migrations_us - migration_delay_us, MIN_MIGRATION_TIME_US)
         if migration_delay_us:
-            loop.call_later(migration_delay_us, self._migrate_remaining)
+            loop.call_later(migration_delay_us, lambda: self._migrate_remaining(within_us))
         else:
-            self._migrate_remaining()
+            self._migrate_remaining(within_us)
         loop.call_later(LAME_DUCK_US, self._close_listener)
 
     def finish_now(self) -> None:
@@ -209,10 +211,10 @@
         if not self._passes_through and not self.is_shutting_down:
             self._queue_event(ProxyDraining(within_us))
 
-    def _migrate_remaining(self) -> None:
+    def _migrate_remaining(self, within_us: int) -> None:
         """Migrate remaining connections; in pass-through mode, another proxy takes them over."""
         if not self._passes_through:
-            self._queue_event(ProxyDraining(self._deadlines.migrations_us))
+            self._queue_event(ProxyDraining(within_us))
 
     def _close_listener(self) -> None:
         """Close the listener once its accept queue is empty; clients left in it would be reset."""
--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_graceful_shutdown.py
@@ -9,12 +9,26 @@
 import subprocess
 import sys
 import time
+from dataclasses import replace
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from larchhaven.net.graceful_shutdown import KILL_GRACE_US, MAX_AWAITED_DEADLINE_US
-from tests.proxy_harness import ROOT, TIMEOUT_S, LineConnection, ProxyProcess, make_request_line
+from larchhaven.net.graceful_shutdown import (
+    KILL_GRACE_US,
+    MAX_AWAITED_DEADLINE_US,
+    compute_deadlines,
+)
+from tests.proxy_harness import (
+    ROOT,
+    SETTINGS,
+    TIMEOUT_S,
+    LineConnection,
+    ProxyProcess,
+    make_request_line,
+)
+from tests.routing.builders import BASIC_SETTINGS
 
 REQUEST_FIELDS = "c=chat,d=2000,g=ab"
 LONG_DEADLINE_FIELDS = "c=chat,d=60000,g=ab"  # expires after the platform kills the process
@@ -97,6 +111,47 @@
     assert proxy.process.wait(TIMEOUT_S) == 0
 
 
+def services_with_deadline(deadline_us: int) -> list[dict[str, Any]]:
+    return [{**service, "deadline": deadline_us} for service in SETTINGS["services"]]
+
+
+@pytest.mark.parametrize(
+    "proxy",
+    [
+        {"inherits_socket": inherits, "services": services_with_deadline(deadline_us)}
+        for inherits in (False, True)
+        for deadline_us in (1_200_000, 4_800_000)
+    ],
+    indirect=True,
+)
+def test_request_is_answered_before_the_platform_kills_the_process(proxy: ProxyProcess) -> None:
+    """Guards against requests that are lost, as the process still waits when it is killed."""
+    client, _server = send_pending_request(proxy, LONG_DEADLINE_FIELDS)
+    signalled_s = time.monotonic()
+    start_shutdown(proxy)
+    deadline_us = proxy.configuration["settings"]["services"][0]["deadline"]
+    kill_us = min(deadline_us, MAX_AWAITED_DEADLINE_US) + KILL_GRACE_US
+    assert client.read_line().split()[0] in ("BUSY", "ERR")
+    assert time.monotonic() - signalled_s < kill_us / 1e6
+    assert proxy.process.wait(TIMEOUT_S) == 0
+
+
+@pytest.mark.parametrize("shares_socket", [False, True])
+@pytest.mark.parametrize("longest_ms", [200, 1_200, 3_000, 3_549, 3_551, 4_800, 60_000])
+def test_all_deadlines_of_the_shutdown_are_before_the_kill(
+    longest_ms: int, shares_socket: bool
+) -> None:
+    """The platform counts the longest deadline as 3 s if it is longer, in an upgrade as well."""
+    longest_us = longest_ms * 1000
+    request_class = replace(BASIC_SETTINGS.classes[0], deadline_us=longest_us)
+    settings = replace(BASIC_SETTINGS, classes=(request_class,))
+    deadlines = compute_deadlines(settings, shares_socket)
+    kill_us = min(longest_us, 3_000_000) + 700_000
+    assert deadlines.answers_us < kill_us
+    assert deadlines.migrations_us < kill_us
+    assert deadlines.end_us is None or deadlines.answers_us < deadlines.end_us < kill_us
+
+
 @pytest.mark.parametrize("proxy", [{}, ENDS_AT_PROXY], indirect=True)
 def test_second_signal_answers_all_requests_and_ends(proxy: ProxyProcess) -> None:
     """A second signal ends the process early, but not before every request has its answer."""
