A client that sends PING without a pause has a bounded share of the loop

No client was left without an answer, and memory did not grow.

Cause: data_received handled all lines of a buffer, up to 1,365 PINGs with an answer each, in one iteration. While the buffers to the client were full, an answer was written as far as it fitted and its rest dropped.

Change: 16 lines at a time with a pause of 5 ms, and none while answers are unsent.

--- a/larchhaven/net/text_protocol/client_connection.py
+++ b/larchhaven/net/text_protocol/client_connection.py
@@ -20,6 +20,10 @@
 REQUEST_LINE_TIMEOUT_US = 2_000_000
 # Time that a client has to send its request line, or another PING, after a PING.
 TIMEOUT_AFTER_PING_US = 5_000_000
+# A client that sends PING after PING is read this many lines at a time, with a pause in between, so
+# that it does not hold up the others.
+MAX_LINES_PER_TURN = 16
+TURN_PAUSE_US = 5_000
 
 
 class ClientAcceptor(Protocol):
@@ -67,6 +71,7 @@
         self._timeout: TimerHandle | None = self._loop.call_later(
             REQUEST_LINE_TIMEOUT_US, self._on_timeout
         )
+        self._pause: TimerHandle | None = None
 
     # Stream callbacks
 
@@ -74,25 +79,17 @@
         """Do nothing: an accepted connection is already established."""
 
     def write_buffer_drained(self) -> None:
-        """Do nothing: answers are short and need no flow control."""
+        """Continue with the lines that waited until earlier answers were sent."""
+        self._resume()
 
     def data_received(self) -> None:
         """Handle the lines up to the request line; later data stays in the inbox."""
-        while self._request_id is None and self.stream.inbox is not None:
-            try:
-                line = codec.take_line(self.stream.inbox)
-                if line is None:
-                    return
-                self.stream.consume(0)
-                if line + codec.LINE_END == codec.PING:
-                    self._answer_ping()
-                    continue
-                spec = self._parse_request(line)
-            except codec.RemoteProtocolError as error:
-                self._acceptor.event_log.warning("request line invalid", error.reason)
-                self.send_failure()
+        for _ in range(MAX_LINES_PER_TURN):
+            if self._is_blocked() or not self._handle_next_line():
                 return
-            self._start_request(spec)
+        self.stream.pause_reading()
+        self._loop.cancel(self._pause)
+        self._pause = self._loop.call_later(TURN_PAUSE_US, self._resume)
 
     def eof_received(self) -> None:
         """Treat the end of the stream as a disconnect: a waiting client keeps its side open."""
@@ -105,6 +102,43 @@
 
     # Request handling
 
+    def _is_blocked(self) -> bool:
+        """Return whether no further line can be handled now; stop reading if answers are unsent."""
+        if self._request_id is not None or self.stream.inbox is None:
+            return True
+        if self.stream.pending_bytes:
+            self.stream.pause_reading()
+            return True
+        return False
+
+    def _handle_next_line(self) -> bool:
+        """Handle the next line of the inbox; return False if there is none, or it was the last."""
+        if self.stream.inbox is None:
+            return False
+        try:
+            line = codec.take_line(self.stream.inbox)
+            if line is None:
+                return False
+            self.stream.consume(0)
+            if line + codec.LINE_END == codec.PING:
+                self._answer_ping()
+                return True
+            spec = self._parse_request(line)
+        except codec.RemoteProtocolError as error:
+            self._acceptor.event_log.warning("request line invalid", error.reason)
+            self.send_failure()
+            return False
+        self._start_request(spec)
+        return False
+
+    def _resume(self) -> None:
+        """Read on after a pause, unless the client has sent its request or was answered."""
+        self._loop.cancel(self._pause)
+        if self._timeout is None or self.stream.is_closed:
+            return
+        self.stream.resume_reading()
+        self.data_received()
+
     def _answer_ping(self) -> None:
         self.stream.write(codec.NO if self._acceptor.is_draining else codec.PONG)
         self._loop.cancel(self._timeout)
@@ -134,6 +168,7 @@
 
     def _cancel_timeout(self) -> None:
         self._loop.cancel(self._timeout)
+        self._loop.cancel(self._pause)
         self._timeout = None
 
     def _on_timeout(self) -> None:
