A request that may have run is not sent again when its id comes again

Cause: only the ids of open requests were known. The end of a request released its id, here and in the other process, whether or not a server may have executed it.

The successor of a hot restart gets the latest with its state, and both processes notify each other. Messages without an execution keep their bytes (tests/test_stored_data.py).

Classes that may be repeated freely are not remembered.

--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -126,7 +126,7 @@
             set_watch_enabled=lambda on: None,
             poll_endpoints=lambda: None,
             send_gossip=lambda peer, data: None,
-            announce_identity=lambda identity, on: None,
+            announce_identity=lambda identity, is_open, execution: None,
             is_open_elsewhere=lambda identity: False,
         )
 
--- a/larchhaven/memory/item_costs.py
+++ b/larchhaven/memory/item_costs.py
@@ -27,5 +27,7 @@
 # The remembered id of a server that is or was listed.
 REMEMBERED_SERVER_BYTES = 170
 REQUEST_ID_BYTES = 110
+# A remembered execution of a request, with the hash of its id.
+EXECUTED_IDENTITY_BYTES = 180
 # An event tracked by the rate-limited log.
 LOG_EVENT_BYTES = 260
--- a/larchhaven/net/control/attempt_runner.py
+++ b/larchhaven/net/control/attempt_runner.py
@@ -16,6 +16,7 @@
 from larchhaven.net.core.metrics import Metrics
 from larchhaven.routing.actions import CancelAttempt, StartAttempt
 from larchhaven.routing.events import AttemptResult, ConnectionEstablished, Event, LoadReport
+from larchhaven.routing.retries import NOT_EXECUTED_RESULTS
 
 
 class RequestFinder(Protocol):
@@ -127,9 +128,12 @@
         can_send = self._drain_guard.may_send_to(request.server_id)
         return can_send and self._is_attempt_allowed(self._loop.now_us, request_id)
 
-    def on_request_sent(self, _request_id: int) -> None:
+    def on_request_sent(self, request_id: int) -> None:
         """Count a request as sent; from now on, its server may have executed it."""
         self._metrics.upstream_requests += 1
+        request = self._requests.find_request(request_id)
+        if request is not None:
+            request.note_sent(self._loop.now_us)
 
     def on_attempt_established(self, request_id: int) -> None:
         """Connect a client to the server that has accepted its request."""
@@ -149,6 +153,8 @@
         request = self._requests.find_request(request_id)
         if request is not None and request.state is RequestState.ATTEMPTING:
             request.take_attempt()
+            if result in NOT_EXECUTED_RESULTS:
+                request.note_not_executed()
             self._queue_attempt_end(request, result, report)
 
     def _queue_attempt_end(
--- a/larchhaven/net/control/interfaces.py
+++ b/larchhaven/net/control/interfaces.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from larchhaven.net.control.executed_identities import Execution
 from larchhaven.net.control.request_spec import RequestSpec
 from larchhaven.routing.events import AttemptResult, LoadReport
 from larchhaven.routing.gossip_messages import GossipMessage
@@ -96,7 +97,10 @@
     """Accepts the requests of clients."""
 
     def detect_duplicate_identity(self, spec: RequestSpec) -> bool:
-        """Return whether another open request has this identity; count a failure if so."""
+        """Return whether the request must not run because of its identity; count a failure if so.
+
+        Another open request may have the identity, or a server may have executed it before.
+        """
 
     def accept_request(self, client: ClientConnection, spec: RequestSpec) -> int:
         """Accept a request, which gets exactly one final answer; return its id."""
@@ -139,7 +143,8 @@
         poll_endpoints: Requests the complete endpoint list once.
         send_gossip: Sends a message to the peer with this index, or to all peers if it is None.
         announce_identity: Notifies the other process of a hot restart that a request with this
-            identity has been opened (True) or has ended (False).
+            identity has been opened (True) or has ended (False), and how it may have been
+            executed.
         is_open_elsewhere: Returns whether that process has an open request with this identity.
     """
 
@@ -150,5 +155,5 @@
     set_watch_enabled: Callable[[bool], None]
     poll_endpoints: Callable[[], None]
     send_gossip: Callable[[int | None, GossipMessage], None]
-    announce_identity: Callable[[bytes, bool], None]
+    announce_identity: Callable[[bytes, bool, Execution | None], None]
     is_open_elsewhere: Callable[[bytes], bool]
--- a/larchhaven/net/control/open_identities.py
+++ b/larchhaven/net/control/open_identities.py
@@ -4,12 +4,22 @@
 
 from typing import Protocol
 
+from larchhaven.net.control.executed_identities import Execution
+
 
 class IdentityExchange(Protocol):
     """Exchanges open identities with the other process of a hot restart."""
 
-    def announce_identity(self, identity: bytes, is_open: bool, /) -> None:
-        """Notify the other process that a request with this identity was opened or has ended."""
+    def announce_identity(
+        self, identity: bytes, is_open: bool, execution: Execution | None, /
+    ) -> None:
+        """Notify the other process that a request with this identity was opened or has ended.
+
+        Args:
+            identity: The identity.
+            is_open: Whether the request is open now.
+            execution: How a request that has ended may have been executed; None if it was not.
+        """
 
     def is_open_elsewhere(self, identity: bytes, /) -> bool:
         """Return whether the other process has an open request with this identity."""
@@ -38,10 +48,18 @@
         """Record an open request; it replaces an earlier one with the same identity."""
         if identity:
             self._request_ids[identity] = request_id
-            self._exchange.announce_identity(identity, True)
+            self._exchange.announce_identity(identity, True, None)
+
+    def release_identity(
+        self, identity: bytes, request_id: int, execution: Execution | None = None
+    ) -> None:
+        """Record the end of a request; the identity stays open if a later request has it.
 
-    def release_identity(self, identity: bytes, request_id: int) -> None:
-        """Record the end of a request; the identity stays open if a later request has it."""
+        Args:
+            identity: The identity of the request.
+            request_id: The id of the request.
+            execution: How it may have been executed; None if it was not.
+        """
         if self._request_ids.get(identity) == request_id:
             del self._request_ids[identity]
-            self._exchange.announce_identity(identity, False)
+            self._exchange.announce_identity(identity, False, execution)
--- a/larchhaven/net/control/request.py
+++ b/larchhaven/net/control/request.py
@@ -71,12 +71,15 @@
         attempt_number: Number of the latest attempt, starting from 0.
         server_id: Server of the latest attempt.
         attempt_started_us: When the latest attempt started, by the clock of the event loop.
+        sent_at_us: When the request was first sent to a server that may have executed it; None if
+            there is no such server.
         connection: The connection; None until it is established.
         charged_bytes: Memory charged to the account for this request.
     """
 
     __slots__ = (
         "_attempt",
+        "_executed_attempt_number",
         "attempt_number",
         "attempt_started_us",
         "charged_bytes",
@@ -86,6 +89,7 @@
         "deadline_us",
         "load",
         "request_id",
+        "sent_at_us",
         "server_id",
         "spec",
         "state",
@@ -105,6 +109,8 @@
         self.attempt_number = NO_ATTEMPT_NUMBER
         self.server_id = ""
         self.attempt_started_us = 0
+        self.sent_at_us: int | None = None
+        self._executed_attempt_number = NO_ATTEMPT_NUMBER
         self._attempt: UpstreamAttempt | None = None
         self.connection: EstablishedConnection | None = None
         self.charged_bytes = REQUEST_BYTES + len(spec.payload) + len(spec.identity)
@@ -126,6 +132,18 @@
         self._attempt = attempt
         self.state = RequestState.ATTEMPTING
 
+    def note_sent(self, now_us: int) -> None:
+        """Record that the latest attempt has sent the request: its server may execute it."""
+        if self.sent_at_us is None:
+            self.sent_at_us = now_us
+            self._executed_attempt_number = self.attempt_number
+
+    def note_not_executed(self) -> None:
+        """Record that the server of the latest attempt has not executed the request."""
+        if self._executed_attempt_number == self.attempt_number:
+            self.sent_at_us = None
+            self._executed_attempt_number = NO_ATTEMPT_NUMBER
+
     def take_attempt(self) -> UpstreamAttempt:
         """Remove and return the running attempt; the request waits for the next one."""
         self._require_state(RequestState.ATTEMPTING)
--- a/larchhaven/net/control/request_table.py
+++ b/larchhaven/net/control/request_table.py
@@ -7,6 +7,11 @@
 
 from larchhaven.memory.account import MemoryAccount
 from larchhaven.memory.purposes import MemoryPurpose
+from larchhaven.net.control.executed_identities import (
+    ExecutedIdentities,
+    Execution,
+    identity_hash,
+)
 from larchhaven.net.control.interfaces import ClientConnection, ConnectionObserver
 from larchhaven.net.control.open_identities import IdentityExchange, OpenIdentities
 from larchhaven.net.control.request import Request, RequestState
@@ -39,6 +44,7 @@
 
     Attributes:
         find_request: Returns the open request with this id, or None if it has ended.
+        executed_identities: The requests that servers may have executed, and must not again.
         last_arrival_us: When the latest request arrived, by the clock of the event loop; 0 before
             the first one.
     """
@@ -65,6 +71,7 @@
         # Bound directly to save a method call, as it is called for each message of a connection.
         self.find_request = self._requests.get
         self._identities = OpenIdentities()
+        self.executed_identities = ExecutedIdentities(settings.classes, account)
         # Set at shutdown: every request must be answered by this time.
         self._answer_deadline_us: int | None = None
         self.last_arrival_us = 0
@@ -114,31 +121,53 @@
         self._loop.cancel(request.deadline_timer)
         self._metrics.active_requests -= 1
         self._account.release(MemoryPurpose.TABLES, request.charged_bytes)
-        self._identities.release_identity(request.spec.identity, request_id)
+        execution = self._record_execution(request)
+        self._identities.release_identity(request.spec.identity, request_id, execution)
         request.end()
         return request
 
+    def _record_execution(self, request: Request) -> Execution | None:
+        """Remember a request that a server may have executed, and that must not run again."""
+        identity = request.spec.identity
+        if request.sent_at_us is None or not identity:
+            return None
+        execution = Execution(request.spec.class_index, request.sent_at_us)
+        if not self.executed_identities.is_relevant(execution):
+            return None
+        self.executed_identities.record(identity_hash(identity), execution)
+        return execution
+
     # Clients
 
     def detect_duplicate_identity(self, spec: RequestSpec) -> bool:
-        """Return whether another open request has this identity; count a failure if so.
+        """Return whether the request must not run because of its identity; count a failure if so.
 
-        A server would reject the duplicate, which would cost a connection and make the server look
-        faulty. A connection that continues mid-flow, or was established before, is not a duplicate:
-        the open request may be what remains of its earlier connection.
+        A server would reject a duplicate of an open request, which would cost a connection and make
+        the server look faulty. A request that a server may have executed must not run again. A
+        connection that continues mid-flow, or was established before, is not a duplicate: the
+        earlier request may be what remains of its connection.
         """
-        is_open = self._identities.is_open(spec.identity)
-        is_duplicate = is_open and not spec.is_mid_flow and spec.pinned_server_id is None
+        if spec.is_mid_flow or spec.pinned_server_id is not None:
+            return False
+        is_duplicate = self._identities.is_open(spec.identity) or not self._may_execute(spec)
         self._outcomes[spec.class_index].failed += is_duplicate
         return is_duplicate
 
+    def _may_execute(self, spec: RequestSpec) -> bool:
+        """Return whether a request may be sent until its deadline, as far as earlier ones go."""
+        deadline_us = self._loop.now_us + self._find_budget_us(spec)
+        return self.executed_identities.may_execute(spec.identity, deadline_us)
+
+    def _find_budget_us(self, spec: RequestSpec) -> int:
+        if spec.budget_us is None:
+            return self._settings.classes[spec.class_index].deadline_us
+        return spec.budget_us
+
     def accept_request(self, client: ClientConnection, spec: RequestSpec) -> int:
         """Accept a request, which gets exactly one final answer; return its id."""
         now_us = self._loop.now_us
         self.last_arrival_us = now_us
-        budget_us = spec.budget_us
-        if budget_us is None:
-            budget_us = self._settings.classes[spec.class_index].deadline_us
+        budget_us = self._find_budget_us(spec)
         if self._answer_deadline_us is not None:
             budget_us = max(min(budget_us, self._answer_deadline_us - now_us), 0)
         request = Request(client, spec, now_us + budget_us)
--- a/larchhaven/net/hot_restart.py
+++ b/larchhaven/net/hot_restart.py
@@ -15,17 +15,18 @@
 from larchhaven.memory.account import MemoryAccount
 from larchhaven.memory.item_costs import REQUEST_ID_BYTES
 from larchhaven.memory.purposes import MemoryPurpose
+from larchhaven.net.control.executed_identities import Execution, identity_hash
 from larchhaven.net.core.event_loop import EventLoop, TimerHandle
 from larchhaven.net.core.rate_limited_log import RateLimitedLog
 from larchhaven.net.hot_restart_messages import (
     PROTOCOL_VERSION,
     ConnectionTransfer,
+    ExecutionRecord,
     GossipForwarded,
     IdentityChanged,
     Message,
     RestartHello,
     SharedState,
-    identity_hash,
 )
 from larchhaven.net.hot_restart_socket import (
     HotRestartChannel,
@@ -52,6 +53,9 @@
     def on_gossip_forwarded(self, data: bytes) -> None:
         """Handle a gossip message from the balancer of the other process."""
 
+    def on_executed_elsewhere(self, record: ExecutionRecord) -> None:
+        """Remember a request that ended in the other process, and must not run again."""
+
     def on_connection_transferred(
         self, transfer: ConnectionTransfer, descriptors: Sequence[int]
     ) -> None:
@@ -157,10 +161,23 @@
         """
         return self._successor is not None and self._successor.send(transfer, descriptors)
 
-    def announce_identity(self, identity: bytes, is_open: bool) -> None:
-        """Notify the other process that the request with this identity was opened or closed."""
-        if self._predecessor is not None or self._successor is not None:
-            self._broadcast(IdentityChanged(identity_hash(identity), is_open))
+    def announce_identity(
+        self, identity: bytes, is_open: bool, execution: Execution | None
+    ) -> None:
+        """Notify the other process that the request with this identity was opened or closed.
+
+        Args:
+            identity: The identity.
+            is_open: Whether the request is open now.
+            execution: How a closed request may have been executed, if it must not run again.
+        """
+        if self._predecessor is None and self._successor is None:
+            return
+        hashed = identity_hash(identity)
+        record = None
+        if execution is not None:
+            record = ExecutionRecord(hashed, execution.class_index, execution.sent_at_us)
+        self._broadcast(IdentityChanged(hashed, is_open, record))
 
     def forward_gossip(self, data: bytes) -> None:
         """Forward an encoded gossip message to the balancer of the other process."""
@@ -187,6 +204,8 @@
                 self._remote_identities.add(message.identity_hash)
             case IdentityChanged() if is_established:
                 self._remote_identities.discard(message.identity_hash)
+                if message.execution is not None:
+                    self._listener.on_executed_elsewhere(message.execution)
             case RestartHello(version=version) if (
                 version == PROTOCOL_VERSION and channel is not self._predecessor
             ):
--- a/larchhaven/net/hot_restart_messages.py
+++ b/larchhaven/net/hot_restart_messages.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from hashlib import blake2b
-
 import msgspec
 
 from larchhaven.errors import LarchhavenError
@@ -16,7 +14,6 @@
 from larchhaven.routing.events import LoadReport
 
 PROTOCOL_VERSION = 1
-IDENTITY_HASH_BYTES = 8
 
 
 class InvalidMessageError(LarchhavenError):
@@ -82,7 +79,21 @@
     report: ReportRecord
 
 
-class SharedState(msgspec.Struct, tag="Known"):
+class ExecutionRecord(msgspec.Struct, array_like=True):
+    """A request that a server may have executed, and that must not run again.
+
+    Attributes:
+        identity_hash: The hash of its identity.
+        class_index: The index of its request class.
+        sent_at_us: When it was first sent to a server, on the clock that both processes share.
+    """
+
+    identity_hash: bytes
+    class_index: int
+    sent_at_us: int
+
+
+class SharedState(msgspec.Struct, tag="Known", omit_defaults=True):
     """The predecessor's reply to ``RestartHello``: the state that the successor starts with.
 
     Attributes:
@@ -90,19 +101,28 @@
         reports: The latest load report of each server.
         identity_hashes: The hashes of the identities of the predecessor's open requests.
         incarnation: The predecessor's incarnation in the membership; 0 if membership is disabled.
+        executions: Requests of the predecessor that have ended, and must not run again.
     """
 
     version: int = msgspec.field(name="v")
     reports: list[ServerReport]
     identity_hashes: list[bytes] = msgspec.field(name="identities")
     incarnation: int = 0
+    executions: list[ExecutionRecord] = []
+
 
+class IdentityChanged(msgspec.Struct, tag="Identity", omit_defaults=True):
+    """The sender has opened or closed the request with this identity.
 
-class IdentityChanged(msgspec.Struct, tag="Identity"):
-    """The sender has opened or closed the request with this identity."""
+    Attributes:
+        identity_hash: The hash of the identity.
+        is_open: Whether the request is open now.
+        execution: How a closed request may have been executed, if it must not run again.
+    """
 
     identity_hash: bytes = msgspec.field(name="mark")
     is_open: bool = msgspec.field(name="on")
+    execution: ExecutionRecord | None = None
 
 
 class GossipForwarded(msgspec.Struct, tag="Heard"):
@@ -139,11 +159,6 @@
 _decoder = msgspec.msgpack.Decoder(Message)
 
 
-def identity_hash(identity: bytes) -> bytes:
-    """Return a hash of fixed length for a request's identity, which may be as long as a line."""
-    return blake2b(identity, digest_size=IDENTITY_HASH_BYTES).digest()
-
-
 def encode(message: Message) -> bytes:
     """Return a message encoded as MessagePack."""
     return msgspec.msgpack.encode(message)
--- a/larchhaven/net/sampled_memory.py
+++ b/larchhaven/net/sampled_memory.py
@@ -8,6 +8,7 @@
 from larchhaven.memory import item_costs
 from larchhaven.memory.purposes import MemoryPurpose
 from larchhaven.net.control.endpoint_directory import EndpointDirectory
+from larchhaven.net.control.executed_identities import ExecutedIdentities
 from larchhaven.net.resources import ProxyResources
 
 _STICKY_ENTRIES_SOURCE = "sticky entries"
@@ -17,6 +18,7 @@
     """Counts the open requests."""
 
     last_arrival_us: int  # 0 until the first request
+    executed_identities: ExecutedIdentities  # requests that must not run again
 
     def count_requests(self) -> int:
         """Return the number of open requests, including established connections."""
@@ -60,6 +62,7 @@
         resources.accounting.sampled_sources = {
             (MemoryPurpose.TABLES, "first request"): self._count_first_request_bytes,
             (MemoryPurpose.TABLES, "timers"): self._count_timer_bytes,
+            (MemoryPurpose.TABLES, "executed requests"): requests.executed_identities.count_bytes,
             (MemoryPurpose.TABLES, "servers"): self._count_server_bytes,
             (MemoryPurpose.TABLES, "remembered servers"): self._count_remembered_server_bytes,
             (MemoryPurpose.TABLES, _STICKY_ENTRIES_SOURCE): self._count_sticky_entry_bytes,
--- a/larchhaven/net/state_transfer.py
+++ b/larchhaven/net/state_transfer.py
@@ -7,6 +7,11 @@
 from typing import Protocol
 
 from larchhaven.gossip import codec
+from larchhaven.net.control.executed_identities import (
+    ExecutedIdentities,
+    Execution,
+    identity_hash,
+)
 from larchhaven.net.control.interfaces import ConnectionObserver, EstablishedConnection
 from larchhaven.net.control.membership_switch import MembershipSwitch
 from larchhaven.net.control.request_spec import RequestSpec
@@ -15,10 +20,10 @@
 from larchhaven.net.hot_restart_messages import (
     PROTOCOL_VERSION,
     ConnectionTransfer,
+    ExecutionRecord,
     ReportRecord,
     ServerReport,
     SharedState,
-    identity_hash,
 )
 from larchhaven.net.resources import ProxyResources
 from larchhaven.net.text_protocol.connection_relay import ConnectionRelay
@@ -34,6 +39,9 @@
 
 # Delay before the transfer is retried after a connection could not be sent.
 TRANSFER_RETRY_US = 5_000
+# Number of executed requests that the successor is notified of at its start, the latest ones. They
+# have to fit into one message, together with the identities of the open requests.
+MAX_SHARED_EXECUTIONS = 1_500
 
 
 class TransferableRequest(Protocol):
@@ -60,8 +68,14 @@
         """The connection; None once it has ended."""
 
 
-class OpenIdentities(Protocol):
-    """Lists the identities of the open requests."""
+class RequestIdentities(Protocol):
+    """The identities of requests.
+
+    Attributes:
+        executed_identities: The requests that servers may have executed, and must not again.
+    """
+
+    executed_identities: ExecutedIdentities
 
     def list_identities(self) -> list[bytes]:
         """Return the identities of all open requests."""
@@ -97,7 +111,7 @@
     Args:
         resources: The resources shared by the proxy's components.
         settings: The routing settings.
-        requests: The open requests of this process.
+        requests: The identities of the requests of this process.
         connections: The established connections of this process.
         queue_event: Queues an event for the balancer.
         membership: The membership, which is handed over to the successor.
@@ -112,7 +126,7 @@
         self,
         resources: ProxyResources,
         settings: RoutingSettings,
-        requests: OpenIdentities,
+        requests: RequestIdentities,
         connections: TransferableConnections,
         queue_event: Callable[[Event], None],
         membership: MembershipSwitch,
@@ -178,11 +192,21 @@
         ]
         identities = self._requests.list_identities()
         hashes = [identity_hash(identity) for identity in identities]
-        return SharedState(PROTOCOL_VERSION, reports, hashes, self._membership.hand_over())
+        executions = [
+            ExecutionRecord(hashed, execution.class_index, execution.sent_at_us)
+            for hashed, execution in self._requests.executed_identities.latest(
+                MAX_SHARED_EXECUTIONS
+            )
+        ]
+        return SharedState(
+            PROTOCOL_VERSION, reports, hashes, self._membership.hand_over(), executions
+        )
 
     def on_shared_state(self, state: SharedState) -> None:
         """Adopt the state of the predecessor; its load reports keep their age."""
         self._membership.take_over(state.incarnation)
+        for record in reversed(state.executions):  # the latest one last, as it is forgotten last
+            self.on_executed_elsewhere(record)
         for shared in state.reports:
             age_us = max(self._loop.now_us - shared.received_at_us, 0)
             report = shared.report.to_report()
@@ -190,6 +214,11 @@
                 HealthCheckCompleted(shared.server_id, AttemptResult.OK, age_us, report)
             )
 
+    def on_executed_elsewhere(self, record: ExecutionRecord) -> None:
+        """Remember a request that ended in the other process, and must not run again."""
+        execution = Execution(record.class_index, record.sent_at_us)
+        self._requests.executed_identities.record(record.identity_hash, execution)
+
     def on_gossip_forwarded(self, data: bytes) -> None:
         """Handle gossip from the balancer of the other process, which has the same proxy index."""
         message = codec.decode(data)
--- a/tests/in_process_proxy.py
+++ b/tests/in_process_proxy.py
@@ -67,7 +67,7 @@
                 set_watch_enabled=lambda is_enabled: None,
                 poll_endpoints=lambda: None,
                 send_gossip=lambda peer, data: None,
-                announce_identity=lambda identity, is_open: None,
+                announce_identity=lambda identity, is_open, execution: None,
                 is_open_elsewhere=lambda identity: False,
             )
         )
--- a/tests/net/control/test_open_identities.py
+++ b/tests/net/control/test_open_identities.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from larchhaven.net.control.executed_identities import Execution
 from larchhaven.net.control.open_identities import OpenIdentities
 
 
@@ -13,7 +14,9 @@
     def __init__(self) -> None:
         self.announced: list[tuple[bytes, bool]] = []
 
-    def announce_identity(self, identity: bytes, is_open: bool, /) -> None:
+    def announce_identity(
+        self, identity: bytes, is_open: bool, execution: Execution | None, /
+    ) -> None:
         self.announced.append((identity, is_open))
 
     def is_open_elsewhere(self, identity: bytes, /) -> bool:
--- a/tests/net/test_hot_restart_channel.py
+++ b/tests/net/test_hot_restart_channel.py
@@ -11,6 +11,7 @@
 from larchhaven.net.hot_restart_messages import (
     PROTOCOL_VERSION,
     ConnectionTransfer,
+    ExecutionRecord,
     SharedState,
 )
 
@@ -33,6 +34,9 @@
     def on_gossip_forwarded(self, data: bytes) -> None:
         self.received.append(data)
 
+    def on_executed_elsewhere(self, record: ExecutionRecord) -> None:
+        raise AssertionError("unexpected execution")
+
     def on_connection_transferred(
         self, transfer: ConnectionTransfer, descriptors: Sequence[int]
     ) -> None:
@@ -54,12 +58,12 @@
     assert successor.ready
     assert successor.received == [b"state"]
     for sender, receiver in ((predecessor, successor), (successor, predecessor)):
-        sender.hot_restart.announce_identity(b"id", True)
+        sender.hot_restart.announce_identity(b"id", True, None)
         sender.hot_restart.forward_gossip(b"said")
         loop.run_once()
         assert receiver.hot_restart.is_open_elsewhere(b"id")
         assert receiver.received[-1] == b"said"
         assert not receiver.hot_restart.is_open_elsewhere(b"another")
-        sender.hot_restart.announce_identity(b"id", False)
+        sender.hot_restart.announce_identity(b"id", False, None)
         loop.run_once()
         assert not receiver.hot_restart.is_open_elsewhere(b"id")
--- a/tests/test_stored_data.py
+++ b/tests/test_stored_data.py
@@ -12,6 +12,7 @@
 import pytest
 
 from larchhaven.net.admin.administrative_ejection import AdministrativeEjections
+from larchhaven.net.control.executed_identities import identity_hash
 from larchhaven.net.hot_restart_messages import (
     ConnectionTransfer,
     GossipForwarded,
@@ -23,7 +24,6 @@
     SharedState,
     decode,
     encode,
-    identity_hash,
 )
 from larchhaven.net.text_protocol.relay_state import RelayState, SideState
 
