An operator's drain ends the migrations that still wait before its 4 s are over

Cause: a migration waits for the end of a line until nothing has come for 5.5 s. The shutdown ends those that are left when its time is over; the drain of an operator, on the same class, had no such timer.

Evidence: two of the three new cases in tests/net/test_graceful_shutdown.py fail before (the clients were ended after 5.9 s).

Change: the drain ends what waits 0.1 s before its end. Activating the proxy or shutting it down cancels that timer.

--- a/larchhaven/net/graceful_shutdown.py
+++ b/larchhaven/net/graceful_shutdown.py
@@ -13,7 +13,7 @@
 from typing import Protocol
 
 from larchhaven.net.core.buffer_pool import BufferPool
-from larchhaven.net.core.event_loop import EventLoop
+from larchhaven.net.core.event_loop import EventLoop, TimerHandle
 from larchhaven.net.core.lingering_close import LINGER_US
 from larchhaven.routing.events import Event, ProxyDraining
 from larchhaven.routing.settings import RoutingSettings
@@ -37,6 +37,9 @@
 MIGRATION_DELAY_US = 500_000
 # Where the deadlines leave less after that delay, the connections are migrated at once.
 MIN_MIGRATION_TIME_US = 1_000
+# Migrations that still wait for the end of a line this long before the end of an operator's drain
+# are ended, as their server may hang.
+DRAIN_MARGIN_US = 100_000
 
 
 class ShutdownPhase(enum.Enum):
@@ -155,6 +158,7 @@
         self._passes_through = settings.pass_through
         self._deadlines = compute_deadlines(settings, shares_socket)
         self._shares_socket = shares_socket
+        self._drain_end: TimerHandle | None = None
         self.phase = ShutdownPhase.SERVING
 
     @property
@@ -171,6 +175,7 @@
         """
         self.phase = ShutdownPhase.LAME_DUCK
         loop, deadlines = self._loop, self._deadlines
+        loop.cancel(self._drain_end)
         self._requests.set_answer_deadline(loop.now_us + deadlines.answers_us)
         if self._shares_socket:
             self._listener.stop()  # new clients wait in the accept queue for the successor
@@ -208,8 +213,14 @@
             within_us: Time within which all connections are migrated, in microseconds; 0 cancels
                 the migrations that are still to come.
         """
-        if not self._passes_through and not self.is_shutting_down:
-            self._queue_event(ProxyDraining(within_us))
+        if self._passes_through or self.is_shutting_down:
+            return
+        self._queue_event(ProxyDraining(within_us))
+        self._loop.cancel(self._drain_end)
+        if within_us:
+            self._drain_end = self._loop.call_later(
+                within_us - DRAIN_MARGIN_US, self._connections.end_migrations
+            )
 
     def _migrate_remaining(self, within_us: int) -> None:
         """Migrate remaining connections; in pass-through mode, another proxy takes them over."""
--- a/tests/net/test_graceful_shutdown.py
+++ b/tests/net/test_graceful_shutdown.py
@@ -32,6 +32,7 @@
 
 REQUEST_FIELDS = "c=chat,d=2000,g=ab"
 LONG_DEADLINE_FIELDS = "c=chat,d=60000,g=ab"  # expires after the platform kills the process
+DRAIN_LIMIT_S = 4.05  # an operator's drain is over after 4 s, by the operators' page
 ENDS_AT_PROXY = {"family_info": {"mode": "proxy", "park": 0}}
 
 
@@ -185,6 +186,40 @@
     assert proxy.process.wait(TIMEOUT_S) == 0
 
 
+@pytest.mark.parametrize("hangs", ["before the call", "behind a later line"])
+@pytest.mark.parametrize("proxy", [ENDS_AT_PROXY], indirect=True)
+def test_server_that_hangs_in_a_line_does_not_hold_up_an_operators_drain(
+    proxy: ProxyProcess, hangs: str
+) -> None:
+    """Guards against clients that are still held 4 s after an operator's drain."""
+    client, server = proxy.establish()
+    if hangs == "before the call":
+        server.sock.sendall(b"half ")
+        assert client.file.read(5) == b"half "
+    called_s = time.monotonic()
+    assert proxy.call("POST", "/v1/proxy/drain")[0] == 200
+    if hangs == "behind a later line":
+        client.send_line("hello")
+        assert server.read_line() == "hello"
+        server.sock.sendall(b"first\r\nhalf ")
+    client.file.read()
+    assert time.monotonic() - called_s < DRAIN_LIMIT_S
+    assert proxy.process.poll() is None
+
+
+@pytest.mark.parametrize("proxy", [ENDS_AT_PROXY], indirect=True)
+def test_connection_in_a_line_survives_a_drain_that_is_revoked(proxy: ProxyProcess) -> None:
+    """Guards against a late end of the drain's migrations, when the proxy is active again."""
+    assert proxy.call("POST", "/v1/proxy/drain")[0] == 200
+    assert proxy.call("POST", "/v1/proxy/activate")[0] == 200
+    client, server = proxy.establish()
+    server.sock.sendall(b"half ")
+    assert client.file.read(5) == b"half "
+    assert not select.select([client.sock], [], [], DRAIN_LIMIT_S)[0]
+    server.send_line("line")
+    assert client.read_line() == "line"
+
+
 def test_signal_that_arrives_after_the_socket_listens_is_handled_gracefully(
     proxy: ProxyProcess, tmp_path: Path
 ) -> None:
