Loads that arrive together are one event; plays keep their stand-ins apart

What callers saw, on a path beside the flood of PING: a server that sends LOAD without a pause delays the clients of all others.

Cause: each of the up to 1,170 loads in one buffer was an event for the balancer in one iteration of the loop. Only the last one says how much the connection asks for now.

Evidence: test_loads_that_arrive_together_are_reported_once counts 2,000 reports of 2,000 loads before, under 200 now.

Change: the loads of one read are reported once, as the last of them. Lines reach the client unchanged.

The plays of hostile clients run their stand-ins in a process of their own: in that of the usual clients they had slowed these down.

--- a/benchmarks/hostile_clients.py
+++ b/benchmarks/hostile_clients.py
@@ -3,9 +3,9 @@
     python -m benchmarks.hostile_clients [PLAY ...] [--memory-mb 192] [--sockets 1024] [--json]
 
 Each play starts one proxy, two upstream servers and a discovery service on loopback. Hostile
-clients act for some seconds, in a process of their own. Meanwhile a usual client arrives every
-50 ms, is answered, exchanges one line and leaves. A result has the peak of the proxy's resident
-size, and how many of the usual clients were answered, and when.
+clients act for some seconds; they and the stand-ins have processes of their own. Meanwhile a usual
+client arrives every 50 ms, is answered, exchanges one line and leaves. A result has the peak of the
+proxy's resident size, and how many of the usual clients were answered, and when.
 """
 
 from __future__ import annotations
@@ -20,7 +20,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
@@ -115,14 +115,17 @@
 
 
 async def serve_upstream(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    """Accept each request, and return each line; to one with the field ``load`` send loads."""
+    """Accept each request, and return what follows; to one with the field ``load`` send loads."""
     try:
-        while line := await reader.readline():
-            writer.write(b"UP 1\r\n" if line.startswith(b"OPEN ") else line)
+        request = await reader.readline()
+        writer.write(b"UP 1\r\n")
+        while LOAD_FLOOD_FIELD.encode() in request:
+            writer.write(1_000 * b"LOAD 1\r\n")
+            await writer.drain()
+            await asyncio.sleep(0)  # the other clients' turn: drain may return at once
+        while data := await reader.read(FLOOD_BLOCK_BYTES):
+            writer.write(data)
             await writer.drain()
-            while LOAD_FLOOD_FIELD.encode() in line:
-                writer.write(1_000 * b"LOAD 1\r\n")
-                await writer.drain()
     except (OSError, ValueError):
         pass  # the proxy has left, or sent a line that is too long
     finally:
@@ -138,6 +141,18 @@
         writer.close()
 
 
+async def _serve(upstreams: Sequence[socket.socket], discovery: socket.socket) -> None:
+    for sock in upstreams:
+        await asyncio.start_server(serve_upstream, sock=sock)
+    server = await asyncio.start_server(serve_discovery, sock=discovery)
+    await server.serve_forever()
+
+
+def serve(upstreams: Sequence[socket.socket], discovery: socket.socket) -> None:
+    """Run the stand-ins, in a process of their own, until it is ended."""
+    asyncio.run(_serve(upstreams, discovery))
+
+
 class UsualClients:
     """Clients that arrive one after the other, and their answers."""
 
@@ -148,6 +163,13 @@
         self.rejected = 0
         self.latencies_s: list[float] = []
 
+    async def wait_until_served(self) -> None:
+        """Let clients come one after the other until one is established; none of them counts."""
+        while not self.established:
+            await self._visit()
+        self.established = self.rejected = 0
+        self.latencies_s.clear()
+
     async def arrive(self, until_s: float) -> None:
         """Let clients arrive until a time, and wait for all of them."""
         visits = []
@@ -223,9 +245,11 @@
         async with connect(address) as (reader, writer):
             reading = asyncio.create_task(_read_all(reader))
             writer.write(first)
-            while not stage.is_over() and not reading.done():
-                writer.write(block)
-                await writer.drain()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(max(stage.until_s - time.monotonic(), 0)):
+                    while not reading.done():
+                        writer.write(block)
+                        await writer.drain()
             reading.cancel()
 
 
@@ -347,14 +371,15 @@
 
 
 async def _run_against(proxy: PlayedProxy, name: str, memory_mb: int) -> Result:
-    handlers = [(sock, serve_upstream) for sock in proxy.servers]
-    handlers.append((proxy.discovery, serve_discovery))
-    servers = [await asyncio.start_server(handler, sock=sock) for sock, handler in handlers]
-    until_s = time.monotonic() + ACT_FOR_S
+    context = multiprocessing.get_context("spawn")
+    stand_ins = context.Process(target=serve, args=(proxy.servers, proxy.discovery))
+    stand_ins.start()
     usual = UsualClients(proxy.address)
+    await usual.wait_until_served()
+    until_s = time.monotonic() + ACT_FOR_S
     start_mb = proxy.read_memory_mb("VmRSS")
     stage = Stage(proxy.address, proxy.admin_address, until_s)
-    hostile = multiprocessing.get_context("spawn").Process(target=act, args=(name, stage))
+    hostile = context.Process(target=act, args=(name, stage))
     hostile.start()
     await usual.arrive(until_s)
     await asyncio.to_thread(hostile.join)
@@ -369,8 +394,8 @@
         rejected=usual.rejected,
         slowest_ms=round(1e3 * max(usual.latencies_s, default=0.0), 1),
     )
-    for server in servers:
-        server.close()
+    stand_ins.kill()
+    stand_ins.join()
     return result
 
 
--- a/larchhaven/net/text_protocol/connection_relay.py
+++ b/larchhaven/net/text_protocol/connection_relay.py
@@ -173,16 +173,20 @@
             if lines:
                 self._response_monitor.add_lines(len(lines))
             return
+        latest_load: float | None = None
         for line in lines:
-            self._note_server_line(line)
+            load = codec.parse_load(line)
+            if load is None:
+                self._note_server_line(line)
+            else:
+                latest_load = load
+        if latest_load is not None:
+            self._observer.on_load_changed(self._request_id, latest_load)
         if self._phase is _MIGRATING:
             self._complete_migration()
 
     def _note_server_line(self, line: bytes) -> None:
-        load = codec.parse_load(line)
-        if load is not None:
-            self._observer.on_load_changed(self._request_id, load)
-            return
+        """Handle a line other than a load."""
         final_line = codec.parse_final_line(line)
         if final_line is not None:
             self._final_line = final_line
--- a/tests/net/races/test_line_floods.py
+++ b/tests/net/races/test_line_floods.py
@@ -13,6 +13,7 @@
 PING = b"PING\r\n"
 PONG = b"PONG\r\n"
 PING_COUNT = 10_000
+LOAD_COUNT = 2_000
 SMALL_BUFFER_BYTES = 4_096
 
 
@@ -43,6 +44,30 @@
     assert received + read_all(harness, sock, 500 * len(PONG) - len(received)) == 500 * PONG
 
 
+def test_loads_that_arrive_together_are_reported_once(harness: InProcessProxy) -> None:
+    """Guards against late answers: each of a thousand loads in one read was reported on its own."""
+    client = harness.connect_client(REQUEST_LINE % 1)
+    harness.run(4)
+    server = harness.server_sockets[0]
+    server.send(b"UP 1\r\n")
+    harness.run(2)
+    reported: list[float] = []
+    report = harness.dispatcher.connections.on_load_changed
+
+    def record(request_id: int, load: float) -> None:
+        reported.append(load)
+        report(request_id, load)
+
+    harness.dispatcher.connections.on_load_changed = record  # type: ignore[method-assign]
+    server.setblocking(True)
+    loads = b"".join(b"LOAD %d\r\n" % number for number in range(LOAD_COUNT))
+    server.sendall(loads)
+    received = read_all(harness, client, len(b"UP 1\r\n" + loads))
+    assert received == b"UP 1\r\n" + loads
+    assert reported[-1] == (LOAD_COUNT - 1) * 1e-6
+    assert len(reported) < LOAD_COUNT // 10
+
+
 def test_request_behind_many_lines_is_forwarded(harness: InProcessProxy) -> None:
     sock = harness.connect_client(100 * PING + REQUEST_LINE % 1)
     assert read_all(harness, sock, 100 * len(PONG)) == 100 * PONG
