The backoff of pushed lists leaves time for a slow answer of discovery

Cause: after a refused call the backoff grows to half the drain grace, and half of 3 s is less than a slow answer takes.

Evidence: test_retry_leaves_time_for_a_slow_answer_when_lists_are_pushed fails in 6 of its 9 cases before.

Where lists are asked for nothing changes.

--- a/larchhaven/routing/endpoint_list.py
+++ b/larchhaven/routing/endpoint_list.py
@@ -38,6 +38,8 @@
 # Shortest delay of a later retry, as a fraction of the backoff. The first retry has spread the
 # proxies; much more jitter would send more retries at once than discovery can answer.
 MIN_RETRY_DELAY_FRACTION = 0.9
+# Time that a slow discovery may take to answer.
+SLOW_ANSWER_US = 2_000_000
 MIN_WEIGHT = 1e-3  # weights are divisors
 
 
@@ -47,19 +49,29 @@
     return sorted((SMALL_FLEET_RETRY_DELAY_US, MAX_RETRY_DELAY_US, fleet_us))[1]
 
 
+def _max_pushed_retry_delay_us(drain_grace_us: int) -> int:
+    """Return the longest retry delay where lists are pushed.
+
+    A proxy is assumed to know each list at once, so that retries have to come within the drain
+    grace. Where it is long enough, they leave time for a slow answer.
+    """
+    half_us = drain_grace_us // 2
+    if drain_grace_us <= SLOW_ANSWER_US:
+        return half_us
+    return min(half_us, max(drain_grace_us - SLOW_ANSWER_US, drain_grace_us // 4))
+
+
 class PollBackoff:
     """Schedules the opening of the watch: at the start, and with backoff after a failure."""
 
     def __init__(self, settings: RoutingSettings, scheduler: Scheduler, rng: random.Random) -> None:
         self._scheduler = scheduler
         self._rng = rng
-        # If lists are pushed, a proxy is assumed to know each one at once, so that retries have to
-        # come within the drain grace.
         if settings.subscribes_to_endpoints:
             poll_within_us = settings.poll_deadline_us
             self._max_backoff_us = min(poll_within_us, _max_retry_delay_us(settings.proxy_count))
         else:
-            poll_within_us = settings.drain_grace_us // 2
+            poll_within_us = _max_pushed_retry_delay_us(settings.drain_grace_us)
             self._max_backoff_us = poll_within_us
         min_us = int(MIN_JITTER_FRACTION * poll_within_us)
         max_us = int(MAX_JITTER_FRACTION * poll_within_us)
--- a/tests/routing/test_endpoint_list.py
+++ b/tests/routing/test_endpoint_list.py
@@ -136,6 +136,29 @@
         ] == [True]
 
 
+@pytest.mark.parametrize("proxy_count", [1, 3, 200])
+@pytest.mark.parametrize("drain_grace_us", [2_800_000, 3_000_000, 10_000_000])
+def test_retry_leaves_time_for_a_slow_answer_when_lists_are_pushed(
+    drain_grace_us: int, proxy_count: int
+) -> None:
+    """Guards against requests to drained servers when discovery is slow after an outage."""
+    slow_answer_us = 2 * SECOND_US
+    for seed in range(40):
+        settings = replace(
+            BASIC_SETTINGS,
+            subscribes_to_endpoints=False,
+            drain_grace_us=drain_grace_us,
+            proxy_count=proxy_count,
+        )
+        balancer = Balancer(settings, seed)
+        for failure_index in range(6):
+            failed = balancer.handle(
+                START_US + failure_index * SECOND_US, [EndpointListUpdate(EndpointListKind.FAILED)]
+            )
+            (timer,) = actions_of(StartTimer, failed)
+            assert timer.delay_us + slow_answer_us <= drain_grace_us
+
+
 @pytest.mark.parametrize("proxy_count", [1, 4, 40, 200, 1000])
 @pytest.mark.parametrize("outage_us", [500_000, 11 * SECOND_US, 120 * SECOND_US])
 def test_list_is_requested_soon_after_an_outage_of_discovery(
