--- a/larchhaven/net/text_protocol/client_connection.py
+++ b/larchhaven/net/text_protocol/client_connection.py
@@ -148,7 +148,9 @@
         acceptor = self._acceptor
         spec = codec.parse_request_line(line, acceptor.request_classes, acceptor.tenants)
         if acceptor.requests.detect_duplicate_identity(spec):
-            raise codec.RemoteProtocolError(f"request id {spec.identity!r} is already in use")
+            raise codec.RemoteProtocolError(
+                f"request id {spec.identity!r} is in use or was executed"
+            )
         return spec
 
     def _start_request(self, spec: RequestSpec) -> None:
--- a/tests/net/test_repeated_identities.py
+++ b/tests/net/test_repeated_identities.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import select
 import signal
 import time
@@ -129,6 +130,23 @@
     assert "Traceback" not in process.close()
 
 
+@contextlib.contextmanager
+def running_successor(predecessor: ProxyProcess) -> Iterator[ProxyProcess]:
+    """Start a successor, and end it; check that it has not logged a traceback."""
+    successor = predecessor.start_successor()
+    try:
+        yield successor
+    finally:
+        successor.process.kill()
+        _, log = successor.process.communicate()
+    assert "Traceback" not in log
+
+
+def shut_down(predecessor: ProxyProcess) -> None:
+    predecessor.process.send_signal(signal.SIGTERM)
+    assert predecessor.process.wait(TIMEOUT_S) == 0
+
+
 @pytest.mark.parametrize("left", ["before the successor", "beside the successor"])
 def test_request_is_not_sent_again_by_the_other_process_of_a_hot_restart(
     predecessor: ProxyProcess, left: str
@@ -137,18 +155,12 @@
     line = make_request_line(REQUEST_FIELDS)
     if left == "before the successor":
         send_and_leave(predecessor, line)
-    successor = predecessor.start_successor()
-    try:
+    with running_successor(predecessor) as successor:
         if left == "beside the successor":
             send_and_leave(predecessor, line)  # either process may accept the client
         assert_not_sent(predecessor, line)
-        predecessor.process.send_signal(signal.SIGTERM)
-        assert predecessor.process.wait(TIMEOUT_S) == 0
+        shut_down(predecessor)
         assert_not_sent(successor, line)
-    finally:
-        successor.process.kill()
-        _, log = successor.process.communicate()
-    assert "Traceback" not in log
 
 
 def test_request_in_flight_at_a_hot_restart_is_not_sent_again(predecessor: ProxyProcess) -> None:
@@ -157,14 +169,9 @@
     client = predecessor.connect_client(line)
     server = predecessor.accept()
     assert server.read_line().startswith("OPEN ")
-    successor = predecessor.start_successor()
-    try:
+    with running_successor(predecessor) as successor:
         predecessor.process.send_signal(signal.SIGTERM)
         client.close()
         assert server.read_line() == ""
         assert predecessor.process.wait(TIMEOUT_S) == 0
         assert_not_sent(successor, line)
-    finally:
-        successor.process.kill()
-        _, log = successor.process.communicate()
-    assert "Traceback" not in log
